--- a/src/consensus/consensus.h
+++ b/src/consensus/consensus.h
@@ -191,6 +191,8 @@
     // True if this leader was heard by a majority lately, and its own term's first entry is
     // committed: what it applied is the newest.
     bool mayRead(Instant now) const;
+    // Time since a leader last heard `identity`; zero for itself and on other replicas.
+    Duration silenceOf(Instant now, const std::string &identity) const;
     std::uint64_t term() const { return hard_.term; }
     std::uint64_t commitIndex() const { return commit_; }
     std::uint64_t lastIndex() const;
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -624,6 +624,16 @@
     return now - heard[majority() - 1] <= timings_.electionMin * LeaderLeasePercent / 100;
 }
 
+Duration Replica::silenceOf(Instant now, const std::string &identity) const
+{
+    const auto progress = progress_.find(identity);
+    const bool unknown = role_ != Role::Leader || identity == self_.identity;
+    if (unknown || progress == progress_.end()) {
+        return Duration(0);
+    }
+    return now - std::max(progress->second.heardAt, leaderSince_);
+}
+
 void Replica::compact(std::uint64_t index, std::string state)
 {
     const bool usable = index > snapshot_.index && index <= commit_;
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -1,29 +1,25 @@
 #include "control/control.h"
 
 #include "control/internal/controlstate.h"
-#include "control/internal/disklog.h"
-#include "control/internal/entrycodec.h"
 #include "observe/observe.h"
+#include "peer/generated/peer.pb.h"
+#include "replication/replication.h"
 
 #include <event2/event.h>
 
 #include <algorithm>
 #include <cmath>
 #include <csignal>
-#include <random>
 
 namespace daisyhaven::control {
 
 namespace {
 
-constexpr Milliseconds TickPeriod { 20 };
-constexpr Milliseconds ConsensusTimeout { 1000 };
 constexpr Milliseconds HoldTimeout { 1000 };
 constexpr Milliseconds HoldPeriod { 300 };
 constexpr Milliseconds SummaryTimeout { 700 };
 // Longest time for which a write waits until voters hold it.
 constexpr Seconds WriteTimeout { 5 };
-constexpr std::uint64_t SnapshotAfterEntries = 256;
 // A VM that was silent for longer serves no keyed route any more.
 constexpr Milliseconds ServingSilence { 4000 };
 
@@ -36,20 +32,11 @@
     void operator()(event *event) const { event_free(event); }
 };
 
-wire::ReplicaMember toMessage(const consensus::MemberInfo &member)
-{
-    wire::ReplicaMember message;
-    message.set_vm(member.vm);
-    message.set_identity(member.identity);
-    message.set_peer_address(member.peerAddress);
-    return message;
-}
-
 consensus::Members foundersOf(const settings::VmSettings &settings)
 {
     consensus::Members members;
     for (const settings::NamedVm &vm : settings.fleet.controls) {
-        members.push_back({ vm.id, foundingIdentity(vm.id), vm.peerAddress.text() });
+        members.push_back({ vm.id, replication::foundingIdentity(vm.id), vm.peerAddress.text() });
     }
     return members;
 }
@@ -57,36 +44,27 @@
 class ControlVm
 {
 public:
-    ControlVm(const settings::VmSettings &settings, std::unique_ptr<DiskLog> disk)
+    ControlVm(const settings::VmSettings &settings, std::unique_ptr<replication::DiskLog> disk)
         : settings_(settings), base_(event_base_new()), timers_(base_.get()),
           server_(base_.get(), serverCredentials(settings)),
-          clients_(base_.get(), timers_, serverCredentials(settings)), disk_(std::move(disk)),
-          replica_({ settings.id, disk_->identity().identity, settings.peerAddress.text() },
-                   disk_->stored(), {}, std::random_device {}(), timers_.now()),
-          voterVersions_(settings.fleet.voters.size()), voterHolds_(settings.fleet.voters.size())
+          clients_(base_.get(), timers_, serverCredentials(settings)),
+          runner_(timers_, server_, clients_, std::move(disk), settings.peerAddress, callbacks()),
+          replica_(runner_.replica()), voterVersions_(settings.fleet.voters.size()),
+          voterHolds_(settings.fleet.voters.size())
     {
         clients_.setLocal(settings.peerAddress, server_);
     }
 
     Result<void> run()
     {
-        BOOST_LEAF_CHECK(state_.restore(disk_->stored().snapshot.state));
         registerHandlers();
+        BOOST_LEAF_CHECK(runner_.start());
         BOOST_LEAF_CHECK(server_.listen(settings_.peerAddress));
-        tick_ = timers_.every(TickPeriod, [this] {
-            replica_.tick(timers_.now());
-            carryOut();
-        });
         hold_ = timers_.every(HoldPeriod, [this] { pushToVoters(); });
         catchSignal(SIGTERM);
         catchSignal(SIGINT);
-        if (disk_->tailWasCut()) {
-            logEvent(Event::ControlLogRepaired, { { "vm", settings_.id } });
-        }
         logEvent(Event::ProcessStarted,
-                 { { "vm", settings_.id },
-                   { "identity", disk_->identity().identity },
-                   { "entries", disk_->stored().entries.size() } });
+                 { { "vm", settings_.id }, { "identity", runner_.identity().identity } });
         event_base_dispatch(base_.get());
         logEvent(Event::ProcessStopped, { { "vm", settings_.id } });
         if (stopFailure_) {
@@ -118,13 +96,6 @@
         using peer::Caller;
         using peer::Method;
         using peer::Role;
-        server_.handleTyped<wire::ConsensusMessage, wire::Empty>(
-            Method::Consensus, Role::Vm,
-            [this](const Caller &, const wire::ConsensusMessage &message, auto respond) {
-                respond(wire::Empty {});
-                replica_.receive(timers_.now(), fromWire(message));
-                carryOut();
-            });
         server_.handleTyped<wire::OperatorWrite, wire::OperatorWriteReply>(
             Method::Write, Role::Operator,
             [this](const Caller &caller, const wire::OperatorWrite &message, auto respond) {
@@ -144,113 +115,39 @@
 
     // ---- the replicated log ----
 
-    void carryOut()
-    {
-        while (!stopFailure_) {
-            const std::vector<consensus::Action> actions = replica_.takeActions();
-            if (actions.empty()) {
-                break;
-            }
-            for (const consensus::Action &action : actions) {
-                const auto done = attempt([&]() -> Result<bool> {
-                    BOOST_LEAF_CHECK(
-                        std::visit([this](const auto &value) { return perform(value); }, action));
-                    return true;
-                });
-                if (const auto *failure = std::get_if<Failure>(&done)) {
-                    stopFor(*failure);
-                    return;
-                }
-            }
-        }
-        compact();
-    }
-
-    // A replica that cannot trust its disk stops; the others go on.
-    void stopFor(const Failure &failure)
-    {
-        logEvent(Event::ControlRefusedStart, { { "reason", toString(failure) } });
-        stopFailure_ = failure;
-        event_base_loopbreak(base_.get());
-    }
-
-    Result<void> perform(const consensus::PersistHardState &action)
-    {
-        return disk_->writeHardState(action.state);
-    }
-
-    Result<void> perform(const consensus::PersistEntries &action)
-    {
-        return disk_->writeEntries(action.from, action.entries);
-    }
-
-    Result<void> perform(const consensus::PersistSnapshot &action)
-    {
-        return disk_->writeSnapshot(action.snapshot, action.tail);
-    }
-
-    Result<void> perform(const consensus::Send &action)
-    {
-        const auto address = attempt([&] { return peer::parseAddress(action.peerAddress); });
-        if (const auto *target = std::get_if<peer::Address>(&address)) {
-            clients_.call<wire::Empty>(*target, peer::Method::Consensus, toWire(action.message),
-                                       ConsensusTimeout,
-                                       [](const peer::CallResult<wire::Empty> &) {});
-        }
-        return {};
+    replication::ReplicaCallbacks callbacks()
+    {
+        replication::ReplicaCallbacks callbacks;
+        callbacks.commit = [this](const consensus::Entry &entry) { apply(entry); };
+        callbacks.restore = [this](const std::string &state) { return state_.restore(state); };
+        callbacks.snapshot = [this] { return state_.toSnapshot(); };
+        callbacks.elected = [](std::uint64_t) {};
+        callbacks.steppedDown = [this](std::uint64_t) { abandonWrites(); };
+        callbacks.stopped = [this](const Failure &failure) {
+            stopFailure_ = failure;
+            event_base_loopbreak(base_.get());
+        };
+        return callbacks;
     }
 
-    Result<void> perform(const consensus::Commit &action)
+    void apply(const consensus::Entry &entry)
     {
-        appliedIndex_ = action.entry.index;
-        if (action.entry.kind == consensus::EntryKind::Membership) {
-            logEvent(Event::ControlMemberChanged, { { "members", action.entry.members.size() } });
-        }
-        if (action.entry.kind != consensus::EntryKind::Command) {
-            return {};
-        }
-        const OperationOutcome outcome = state_.apply(action.entry.payload);
-        settleWrites(action.entry.payload, outcome);
+        const OperationOutcome outcome = state_.apply(entry.payload);
+        settleWrites(entry.payload, outcome);
         if (outcome.result == ResultCode::Ok) {
             logEvent(Event::ChangeAccepted, { { "version", outcome.version } });
             pushToVoters();
         }
-        return {};
-    }
-
-    Result<void> perform(const consensus::Restore &action)
-    {
-        appliedIndex_ = action.snapshot.index;
-        return state_.restore(action.snapshot.state);
     }
 
-    Result<void> perform(const consensus::BecameLeader &action)
+    void abandonWrites()
     {
-        logEvent(Event::ControlElected, { { "vm", settings_.id }, { "term", action.term } });
-        return {};
-    }
-
-    Result<void> perform(const consensus::SteppedDown &action)
-    {
-        logEvent(Event::ControlSteppedDown, { { "vm", settings_.id }, { "term", action.term } });
         for (PendingWrite &write : writes_) {
             write.respond(Failure { ResultCode::OperationOutcomeUnknown,
                                     "the leader changed; send the operation again with --operation "
                                         + write.operationId });
         }
         writes_.clear();
-        return {};
-    }
-
-    void compact()
-    {
-        const bool due = appliedIndex_ >= replica_.firstIndex() + SnapshotAfterEntries;
-        if (!due || stopFailure_) {
-            return;
-        }
-        replica_.compact(appliedIndex_, state_.toSnapshot());
-        logEvent(Event::ControlSnapshot, { { "index", appliedIndex_ } });
-        carryOut();
     }
 
     // ---- operators ----
@@ -279,14 +176,11 @@
     {
         writes_.push_back(
             { change.operation_id(), respond, timers_.now() + WriteTimeout, std::nullopt });
-        const auto proposed =
-            attempt([&] { return replica_.propose(timers_.now(), change.SerializeAsString()); });
+        const auto proposed = attempt([&] { return runner_.propose(change.SerializeAsString()); });
         if (const auto *failure = std::get_if<Failure>(&proposed)) {
             writes_.pop_back();
             respond(*failure);
-            return;
         }
-        carryOut();
     }
 
     void settleWrites(const std::string &payload, const OperationOutcome &outcome)
@@ -530,7 +424,7 @@
     {
         wire::StatusReply reply;
         reply.set_vm(settings_.id);
-        reply.set_identity(disk_->identity().identity);
+        reply.set_identity(runner_.identity().identity);
         reply.set_leader(replica_.mayRead(timers_.now()));
         if (const auto leader = replica_.leader()) {
             reply.set_leader_vm(leader->vm);
@@ -545,7 +439,7 @@
             *reply.add_members() = member;
         }
         for (const consensus::MemberInfo &member : replica_.members()) {
-            *reply.add_control() = toMessage(member);
+            *reply.add_control() = replication::toWire(member);
         }
         if (request.include_configuration()) {
             *reply.mutable_configuration() = configuration::toSnapshot(state_.store().current());
@@ -568,13 +462,12 @@
                                              request.member().peer_address() };
         const auto changed = attempt([&]() -> Result<bool> {
             if (request.remove()) {
-                BOOST_LEAF_CHECK(replica_.removeMember(timers_.now(), member.identity));
+                BOOST_LEAF_CHECK(runner_.removeMember(member.identity));
             } else {
-                BOOST_LEAF_CHECK(replica_.addMember(timers_.now(), member));
+                BOOST_LEAF_CHECK(runner_.addMember(member));
             }
             return true;
         });
-        carryOut();
         if (const auto *failure = std::get_if<Failure>(&changed)) {
             return *failure;
         }
@@ -602,10 +495,9 @@
     TimerService timers_;
     peer::Server server_;
     peer::ClientPool clients_;
-    std::unique_ptr<DiskLog> disk_;
-    consensus::Replica replica_;
+    replication::ReplicaRunner runner_;
+    const consensus::Replica &replica_;
     ControlState state_;
-    std::uint64_t appliedIndex_ = 0;
     std::vector<PendingWrite> writes_;
     std::vector<std::uint64_t> voterVersions_;
     std::vector<VoterHold> voterHolds_;
@@ -613,7 +505,6 @@
     std::vector<wire::Member> members_;
     std::optional<Failure> stopFailure_;
     std::vector<std::unique_ptr<event, EventDeleter>> signals_;
-    Subscription tick_;
     Subscription hold_;
 };
 
@@ -627,12 +518,13 @@
         return fail(ResultCode::SettingsInvalid,
                     "the fleet file names no control VM " + settings.id);
     }
-    return DiskLog::initialize(settings.dataFolder, settings.id);
+    return replication::DiskLog::initialize(settings.dataFolder, settings.id);
 }
 
 Result<void> runControlVm(const settings::VmSettings &settings)
 {
-    BOOST_LEAF_AUTO(disk, DiskLog::open(settings.dataFolder, settings.id, foundersOf(settings)));
+    BOOST_LEAF_AUTO(
+        disk, replication::DiskLog::open(settings.dataFolder, settings.id, foundersOf(settings)));
     ControlVm vm(settings, std::move(disk));
     return vm.run();
 }
--- a/src/control/control_test.cpp
+++ b/src/control/control_test.cpp
@@ -1,6 +1,6 @@
 #include "control/internal/controlstate.h"
-#include "control/internal/disklog.h"
 #include "peer/generated/peer.pb.h"
+#include "replication/replication.h"
 
 #include <gtest/gtest.h>
 
@@ -11,6 +11,9 @@
 namespace daisyhaven::control {
 namespace {
 
+using replication::DiskLog;
+using replication::foundingIdentity;
+
 class DiskLogTest : public ::testing::Test
 {
 protected:
--- /dev/null
+++ b/src/coordination/internal/viewcodec.h
@@ -0,0 +1,18 @@
+// Conversion of servers between the scheduler's types and the inner protocol.
+#pragma once
+
+#include "directory/directory.h"
+#include "peer/generated/peer.pb.h"
+#include "scheduler/scheduler.h"
+
+namespace daisyhaven::coordination {
+
+wire::FleetServer toWire(Instant now, const scheduler::KnownServer &server);
+scheduler::KnownServer fromWire(Instant now, const wire::FleetServer &message);
+scheduler::KnownServer toKnownServer(const directory::Entry &entry, bool suspected);
+directory::Announcement toAnnouncement(Instant now, const scheduler::KnownServer &server);
+wire::SlotAnswer toWire(const scheduler::Grant &grant, std::uint64_t epoch);
+wire::SlotAnswer toWire(const scheduler::Refusal &refusal, std::uint64_t epoch);
+scheduler::Question fromWire(Instant now, const wire::SlotQuestion &message);
+
+} // namespace daisyhaven::coordination
--- /dev/null
+++ b/src/coordination/leaderclient.cpp
@@ -0,0 +1,339 @@
+#include "coordination/coordination.h"
+#include "coordination/internal/viewcodec.h"
+#include "observe/observe.h"
+
+#include <algorithm>
+
+namespace daisyhaven::coordination {
+
+namespace {
+
+constexpr Milliseconds MaintenancePeriod { 100 };
+// The leader holds a question open for less than this.
+constexpr Milliseconds ViewTimeout { 1200 };
+constexpr Milliseconds ProbeTimeout { 600 };
+constexpr Milliseconds ProbePeriod { 200 };
+constexpr Milliseconds ReleaseTimeout { 2000 };
+
+} // namespace
+
+class LeaderClient::Impl
+{
+public:
+    Impl(TimerService &timers, peer::ClientPool &clients, LeaderClientOptions options,
+         LeaderClientCallbacks callbacks)
+        : timers_(timers), clients_(clients), options_(std::move(options)),
+          callbacks_(std::move(callbacks))
+    {
+        known_.insert(options_.seeds.begin(), options_.seeds.end());
+    }
+
+    void start()
+    {
+        maintenance_ = timers_.every(MaintenancePeriod, [this] { maintain(); });
+        maintain();
+    }
+
+    void setActive(bool active)
+    {
+        active_ = active;
+        if (!active) {
+            leader_.reset();
+        }
+    }
+
+    void setSeeds(std::vector<peer::Address> seeds)
+    {
+        known_.insert(seeds.begin(), seeds.end());
+        options_.seeds = std::move(seeds);
+    }
+
+    const FleetView &view() const { return view_; }
+    bool hasLeader() const { return leader_ && timers_.now() - heardAt_ < LeaderSilence; }
+    std::optional<peer::Address> leader() const { return leader_; }
+
+    Duration leaderOwes() const { return leader_ ? clients_.silence(*leader_) : Duration(0); }
+
+    std::vector<peer::Address> controlAddresses() const { return { known_.begin(), known_.end() }; }
+
+    void ask(const wire::SlotQuestion &question, Duration timeout, Answer answer)
+    {
+        if (!leader_) {
+            timers_.post([answer = std::move(answer)] {
+                answer(Failure { ResultCode::NotLeader, "no leader is known" });
+            });
+            return;
+        }
+        clients_.call<wire::SlotAnswer>(*leader_, peer::Method::AcquireSlot, question, timeout,
+                                        std::move(answer));
+    }
+
+    void release(const wire::SlotRelease &release)
+    {
+        if (leader_) {
+            // A release that is lost is made good by the slot's expiry.
+            clients_.call<wire::Empty>(*leader_, peer::Method::ReleaseSlot, release, ReleaseTimeout,
+                                       [](const peer::CallResult<wire::Empty> &) {});
+        }
+    }
+
+private:
+    wire::FleetViewRequest makeRequest() const
+    {
+        wire::FleetViewRequest request;
+        request.set_vm(options_.vm);
+        request.set_incarnation(options_.incarnation);
+        request.set_epoch(view_.epoch);
+        request.set_sequence(view_.sequence);
+        request.set_document_index(view_.documentIndex);
+        if (callbacks_.heldElsewhere) {
+            for (const auto &[server, count] : callbacks_.heldElsewhere(view_.epoch)) {
+                auto *held = request.add_held();
+                held->set_server(server);
+                held->set_count(count);
+            }
+        }
+        return request;
+    }
+
+    void maintain()
+    {
+        if (!active_) {
+            return;
+        }
+        if (leader_ && !watching_) {
+            watchLeader();
+        }
+        const Instant now = timers_.now();
+        const bool silent = !leader_ || now - heardAt_ > LeaderSilence;
+        if (silent && !lossReported_) {
+            lossReported_ = true;
+            logEvent(Event::LeaderLost,
+                     { { "leader", leader_ ? leader_->text() : "" },
+                       { "epoch", view_.epoch },
+                       { "silentMs", silentMilliseconds(now) } });
+        }
+        if (silent && now >= probeAt_) {
+            probeAll(now);
+        }
+    }
+
+    std::int64_t silentMilliseconds(Instant now) const
+    {
+        return heardAt_ == Instant() ? -1 : (now - heardAt_).count() / 1000;
+    }
+
+    void probeAll(Instant now)
+    {
+        probeAt_ = now + ProbePeriod;
+        for (const peer::Address &address : known_) {
+            const bool skip = options_.self && address == *options_.self;
+            if (!skip) {
+                probe(address);
+            }
+        }
+    }
+
+    void probe(const peer::Address &address)
+    {
+        if (!probing_.insert(address).second) {
+            return;
+        }
+        clients_.call<wire::FleetViewReply>(
+            address, peer::Method::FleetView, makeRequest(), ProbeTimeout,
+            [this, address](const peer::CallResult<wire::FleetViewReply> &result) {
+                probing_.erase(address);
+                if (const auto *reply = std::get_if<wire::FleetViewReply>(&result)) {
+                    learn(address, *reply);
+                }
+            });
+    }
+
+    void watchLeader()
+    {
+        watching_ = true;
+        const peer::Address address = *leader_;
+        clients_.call<wire::FleetViewReply>(
+            address, peer::Method::FleetView, makeRequest(), ViewTimeout,
+            [this, address](const peer::CallResult<wire::FleetViewReply> &result) {
+                watching_ = false;
+                const auto *reply = std::get_if<wire::FleetViewReply>(&result);
+                if (reply != nullptr) {
+                    learn(address, *reply);
+                } else if (leader_ == address) {
+                    leader_.reset();
+                }
+                maintain();
+            });
+    }
+
+    void learn(const peer::Address &address, const wire::FleetViewReply &reply)
+    {
+        for (const std::string &member : reply.members()) {
+            remember(member);
+        }
+        takeDocument(reply);
+        if (!reply.leader()) {
+            if (leader_ == address) {
+                leader_.reset();
+            }
+            const auto hint = remember(reply.leader_address());
+            if (!leader_ && hint && active_ && hint != options_.self) {
+                probe(*hint);
+            }
+            return;
+        }
+        if (reply.epoch() < view_.epoch || !active_) {
+            return;
+        }
+        if (leader_ != address || lossReported_) {
+            lossReported_ = false;
+            logEvent(Event::LeaderFound,
+                     { { "leader", address.text() }, { "epoch", reply.epoch() } });
+        }
+        leader_ = address;
+        heardAt_ = timers_.now();
+        takeServers(reply);
+        if (!watching_) {
+            watchLeader();
+        }
+    }
+
+    std::optional<peer::Address> remember(const std::string &text)
+    {
+        if (text.empty()) {
+            return std::nullopt;
+        }
+        const auto address = attempt([&] { return peer::parseAddress(text); });
+        if (const auto *valid = std::get_if<peer::Address>(&address)) {
+            known_.insert(*valid);
+            return *valid;
+        }
+        logEvent(Event::PeerRejected, { { "detail", "not an address: " + text } });
+        return std::nullopt;
+    }
+
+    void takeServers(const wire::FleetViewReply &reply)
+    {
+        const Instant now = timers_.now();
+        const bool sameBase = reply.epoch() == view_.epoch && !reply.complete();
+        if (sameBase && reply.sequence() < view_.sequence) {
+            return;
+        }
+        if (!sameBase) {
+            view_.servers.clear();
+        }
+        view_.epoch = reply.epoch();
+        view_.sequence = reply.sequence();
+        view_.entryVms = std::max<std::size_t>(reply.entry_vms(), 1);
+        for (const std::string &id : reply.removed()) {
+            view_.servers.erase(id);
+        }
+        for (const wire::FleetServer &server : reply.changed()) {
+            view_.servers[server.id()] = fromWire(now, server);
+        }
+    }
+
+    void takeDocument(const wire::FleetViewReply &reply)
+    {
+        if (!reply.has_document() || reply.document_index() <= view_.documentIndex) {
+            return;
+        }
+        const wire::CoordinationState &state = reply.state();
+        if (state.version() != view_.version && !state.document().empty()) {
+            const auto table = attempt([&] { return options_.reader(state.document()); });
+            if (const auto *failure = std::get_if<Failure>(&table)) {
+                logEvent(Event::ChangeRefused,
+                         { { "version", state.version() }, { "reason", toString(*failure) } });
+                return;
+            }
+            view_.table = std::make_shared<const routing::RoutingTable>(
+                std::get<routing::RoutingTable>(table));
+        }
+        view_.documentIndex = reply.document_index();
+        view_.version = state.version();
+        view_.zonesOut = { state.zones_out().begin(), state.zones_out().end() };
+        logEvent(Event::ConfigurationApplied,
+                 { { "version", view_.version },
+                   { "zonesOut", view_.zonesOut.size() },
+                   { "index", view_.documentIndex } });
+        if (callbacks_.documentChanged) {
+            callbacks_.documentChanged();
+        }
+    }
+
+    TimerService &timers_;
+    peer::ClientPool &clients_;
+    LeaderClientOptions options_;
+    LeaderClientCallbacks callbacks_;
+    std::set<peer::Address> known_;
+    std::set<peer::Address> probing_;
+    std::optional<peer::Address> leader_;
+    FleetView view_;
+    Instant heardAt_;
+    Instant probeAt_;
+    bool active_ = true;
+    bool watching_ = false;
+    bool lossReported_ = false;
+    Subscription maintenance_;
+};
+
+LeaderClient::LeaderClient(TimerService &timers, peer::ClientPool &clients,
+                           LeaderClientOptions options, LeaderClientCallbacks callbacks)
+    : impl_(std::make_unique<Impl>(timers, clients, std::move(options), std::move(callbacks)))
+{
+}
+
+LeaderClient::~LeaderClient() = default;
+
+void LeaderClient::start()
+{
+    impl_->start();
+}
+
+void LeaderClient::setActive(bool active)
+{
+    impl_->setActive(active);
+}
+
+void LeaderClient::setSeeds(std::vector<peer::Address> seeds)
+{
+    impl_->setSeeds(std::move(seeds));
+}
+
+const FleetView &LeaderClient::view() const
+{
+    return impl_->view();
+}
+
+bool LeaderClient::hasLeader() const
+{
+    return impl_->hasLeader();
+}
+
+std::optional<peer::Address> LeaderClient::leader() const
+{
+    return impl_->leader();
+}
+
+Duration LeaderClient::leaderOwes() const
+{
+    return impl_->leaderOwes();
+}
+
+std::vector<peer::Address> LeaderClient::controlAddresses() const
+{
+    return impl_->controlAddresses();
+}
+
+void LeaderClient::ask(const wire::SlotQuestion &question, Duration timeout, Answer answer)
+{
+    impl_->ask(question, timeout, std::move(answer));
+}
+
+void LeaderClient::release(const wire::SlotRelease &release)
+{
+    impl_->release(release);
+}
+
+} // namespace daisyhaven::coordination
--- /dev/null
+++ b/src/coordination/viewcodec.cpp
@@ -0,0 +1,114 @@
+#include "coordination/internal/viewcodec.h"
+
+namespace daisyhaven::coordination {
+
+namespace {
+
+std::uint32_t millisecondsLeft(Instant now, Instant until)
+{
+    const auto left = std::chrono::ceil<Milliseconds>(until - now).count();
+    return left > 0 ? static_cast<std::uint32_t>(left) : 0;
+}
+
+} // namespace
+
+wire::FleetServer toWire(Instant now, const scheduler::KnownServer &server)
+{
+    wire::FleetServer message;
+    message.set_id(server.info.id);
+    message.set_service(server.info.service);
+    message.set_address(server.info.address);
+    message.set_availability_zone(server.info.zone);
+    message.set_slots(server.info.slots);
+    message.set_draining(server.info.draining);
+    message.set_suspected(server.suspected);
+    message.set_cold_ms(millisecondsLeft(now, server.info.coldUntil));
+    message.set_born(server.info.born);
+    message.set_sequence(server.sequence);
+    return message;
+}
+
+scheduler::KnownServer fromWire(Instant now, const wire::FleetServer &message)
+{
+    scheduler::KnownServer server;
+    server.info.id = message.id();
+    server.info.service = message.service();
+    server.info.address = message.address();
+    server.info.zone = message.availability_zone();
+    server.info.slots = message.slots();
+    server.info.draining = message.draining();
+    server.info.coldUntil = now + Milliseconds(message.cold_ms());
+    server.info.born = message.born();
+    server.suspected = message.suspected();
+    server.sequence = message.sequence();
+    return server;
+}
+
+scheduler::KnownServer toKnownServer(const directory::Entry &entry, bool suspected)
+{
+    scheduler::KnownServer server;
+    server.info = { entry.said.id,    entry.said.service,  entry.said.address, entry.said.zone,
+                    entry.said.slots, entry.said.draining, entry.coldUntil,    entry.said.born };
+    server.suspected = suspected;
+    server.sequence = entry.said.sequence;
+    return server;
+}
+
+directory::Announcement toAnnouncement(Instant now, const scheduler::KnownServer &server)
+{
+    directory::Announcement announcement;
+    announcement.id = server.info.id;
+    announcement.service = server.info.service;
+    announcement.address = server.info.address;
+    announcement.zone = server.info.zone;
+    announcement.slots = server.info.slots;
+    announcement.draining = server.info.draining;
+    announcement.coldRemaining = std::max(server.info.coldUntil - now, Duration(0));
+    announcement.sequence = server.sequence;
+    announcement.born = server.info.born;
+    return announcement;
+}
+
+wire::SlotAnswer toWire(const scheduler::Grant &grant, std::uint64_t epoch)
+{
+    wire::SlotAnswer message;
+    message.set_epoch(epoch);
+    message.set_slot(grant.slot);
+    message.set_server(grant.server);
+    message.set_address(grant.address);
+    return message;
+}
+
+wire::SlotAnswer toWire(const scheduler::Refusal &refusal, std::uint64_t epoch)
+{
+    wire::SlotAnswer message;
+    message.set_epoch(epoch);
+    message.set_result(static_cast<std::uint32_t>(refusal.code));
+    message.set_retry_after_ms(static_cast<std::uint32_t>(refusal.retryAfter.count() / 1000));
+    message.set_reason(refusal.reason);
+    return message;
+}
+
+scheduler::Question fromWire(Instant now, const wire::SlotQuestion &message)
+{
+    scheduler::Question question;
+    question.key = { message.vm(), message.incarnation(), message.number() };
+    question.requestId = message.request_id();
+    question.service = message.service();
+    question.team = message.team();
+    question.route = message.route();
+    question.priority = message.priority();
+    question.repeatable = message.repeatable();
+    question.bulk = message.bulk();
+    question.retry = message.retry();
+    question.hasToken = message.has_token();
+    question.deadline = now + Milliseconds(message.deadline_ms());
+    question.target = now + Milliseconds(message.target_ms());
+    question.zone = message.availability_zone();
+    question.avoid.insert(message.avoid().begin(), message.avoid().end());
+    question.connected.insert(message.connected().begin(), message.connected().end());
+    question.fingerprint = message.fingerprint();
+    return question;
+}
+
+} // namespace daisyhaven::coordination
--- /dev/null
+++ b/src/gateway/slotclient.cpp
@@ -0,0 +1,281 @@
+#include "gateway/internal/slotclient.h"
+
+#include "peer/generated/peer.pb.h"
+
+#include <random>
+
+namespace daisyhaven::gateway {
+
+namespace {
+
+constexpr Milliseconds WatchPeriod { 50 };
+// A leader that owes an answer for longer is taken for lost by the requests that wait for it.
+constexpr Milliseconds LeaderPatience { 250 };
+// The leader refuses in time by itself; its answer gets this long to arrive.
+constexpr Milliseconds AnswerGrace { 200 };
+constexpr Milliseconds UnreachablePause { 2000 };
+constexpr Milliseconds LocalRetryAfter { 500 };
+constexpr std::size_t MaxConnectedTold = 8;
+
+std::uint32_t millisecondsUntil(Instant now, Instant until)
+{
+    return static_cast<std::uint32_t>(std::max<Duration::rep>((until - now).count() / 1000, 0));
+}
+
+bool isPathFailure(scheduler::Outcome outcome)
+{
+    return outcome == scheduler::Outcome::ConnectTimeout
+        || outcome == scheduler::Outcome::ConnectionLost || outcome == scheduler::Outcome::NoAnswer;
+}
+
+} // namespace
+
+SlotClient::SlotClient(TimerService &timers, coordination::LeaderClient &leader, Metrics &metrics,
+                       std::string vm, std::uint64_t incarnation, double rateSlack)
+    : timers_(timers), leader_(leader), metrics_(metrics), vm_(std::move(vm)),
+      incarnation_(incarnation), rateSlack_(rateSlack), chooser_(std::random_device {}())
+{
+}
+
+std::uint64_t SlotClient::ask(scheduler::Question question, Callback callback)
+{
+    const std::uint64_t ticket = ++lastTicket_;
+    question.key = { vm_, incarnation_, ticket };
+    pending_[ticket] = { std::move(question), std::move(callback) };
+    if (leader_.hasLeader() && leader_.leaderOwes() < LeaderPatience) {
+        askLeader(ticket);
+    } else {
+        timers_.post([this, ticket] { chooseLocally(ticket, "no leader"); });
+    }
+    if (!watch_.active()) {
+        watch_ = timers_.every(WatchPeriod, [this] { watchLeader(); });
+    }
+    return ticket;
+}
+
+void SlotClient::askLeader(std::uint64_t ticket)
+{
+    const scheduler::Question &question = pending_.at(ticket).question;
+    const Instant now = timers_.now();
+    wire::SlotQuestion message;
+    message.set_vm(vm_);
+    message.set_incarnation(incarnation_);
+    message.set_number(ticket);
+    message.set_service(question.service);
+    message.set_team(question.team);
+    message.set_route(question.route);
+    message.set_priority(question.priority);
+    message.set_repeatable(question.repeatable);
+    message.set_bulk(question.bulk);
+    message.set_retry(question.retry);
+    message.set_has_token(question.hasToken);
+    message.set_deadline_ms(millisecondsUntil(now, question.deadline));
+    message.set_target_ms(millisecondsUntil(now, question.target));
+    message.set_availability_zone(question.zone);
+    message.set_fingerprint(question.fingerprint);
+    for (const std::string &server : question.avoid) {
+        message.add_avoid(server);
+    }
+    std::size_t told = 0;
+    for (const std::string &server : question.connected) {
+        if (++told > MaxConnectedTold) {
+            break;
+        }
+        message.add_connected(server);
+    }
+    leader_.ask(message, question.deadline - now + AnswerGrace,
+                [this, ticket](const auto &result) { leaderAnswered(ticket, result); });
+}
+
+void SlotClient::leaderAnswered(std::uint64_t ticket,
+                                const std::variant<wire::SlotAnswer, Failure> &result)
+{
+    if (const auto *failure = std::get_if<Failure>(&result)) {
+        chooseLocally(ticket, resultInfo(failure->code).name);
+        return;
+    }
+    const auto &answer = std::get<wire::SlotAnswer>(result);
+    if (answer.result() == 0) {
+        granted(ticket, answer);
+        return;
+    }
+    const auto pending = pending_.find(ticket);
+    if (pending == pending_.end()) {
+        return;
+    }
+    const auto code = static_cast<ResultCode>(answer.result());
+    if (code == ResultCode::RateExceeded) {
+        chooser_.noteRefused(timers_.now(), pending->second.question.team);
+    }
+    settle(ticket, SlotRefused { code, Milliseconds(answer.retry_after_ms()), answer.reason() });
+}
+
+void SlotClient::granted(std::uint64_t ticket, const wire::SlotAnswer &answer)
+{
+    const Slot slot { answer.server(), answer.address(), answer.slot(), answer.epoch() };
+    noteUse(slot);
+    const auto pending = pending_.find(ticket);
+    if (pending == pending_.end()) {
+        release(slot, scheduler::Outcome::NotSent, Duration(0));
+        return;
+    }
+    if (!pending->second.question.hasToken) {
+        chooser_.noteAdmitted(timers_.now(), pending->second.question.team);
+    }
+    settle(ticket, slot);
+}
+
+void SlotClient::settle(std::uint64_t ticket, const SlotResult &result)
+{
+    auto node = pending_.extract(ticket);
+    if (pending_.empty()) {
+        watch_ = Subscription();
+    }
+    if (!node.empty()) {
+        node.mapped().callback(result);
+    }
+}
+
+void SlotClient::withdraw(std::uint64_t ticket)
+{
+    if (pending_.erase(ticket) != 0) {
+        tellWithdrawn(ticket);
+    }
+}
+
+void SlotClient::tellWithdrawn(std::uint64_t ticket)
+{
+    wire::SlotRelease message;
+    message.set_vm(vm_);
+    message.set_incarnation(incarnation_);
+    message.set_number(ticket);
+    leader_.release(message);
+}
+
+void SlotClient::watchLeader()
+{
+    const bool trusted = leader_.hasLeader() && leader_.leaderOwes() < LeaderPatience;
+    if (trusted) {
+        return;
+    }
+    std::vector<std::uint64_t> tickets;
+    for (const auto &[ticket, pending] : pending_) {
+        tickets.push_back(ticket);
+    }
+    for (const std::uint64_t ticket : tickets) {
+        tellWithdrawn(ticket);
+        chooseLocally(ticket, "the leader is silent");
+    }
+}
+
+void SlotClient::chooseLocally(std::uint64_t ticket, const std::string &cause)
+{
+    const auto pending = pending_.find(ticket);
+    if (pending == pending_.end()) {
+        return;
+    }
+    metrics_.add("daisyhaven_local_choices_total", { { "cause", cause } });
+    const SlotResult result = localResult(pending->second.question);
+    if (const auto *slot = std::get_if<Slot>(&result)) {
+        noteUse(*slot);
+    }
+    settle(ticket, result);
+}
+
+SlotResult SlotClient::localResult(const scheduler::Question &question)
+{
+    const Instant now = timers_.now();
+    const coordination::FleetView &view = leader_.view();
+    if (question.retry) {
+        return SlotRefused { ResultCode::RetryBudgetSpent, LocalRetryAfter,
+                             "no leader: nothing is sent a second time" };
+    }
+    const routing::Team *team = view.table ? view.table->findTeam(question.team) : nullptr;
+    chooser_.setSharing(view.entryVms, rateSlack_);
+    const bool mustPay = team != nullptr && !question.hasToken;
+    if (mustPay && !chooser_.admit(now, *team)) {
+        return SlotRefused { ResultCode::RateExceeded, LocalRetryAfter,
+                             "no leader: this VM's share of the team's rate is spent" };
+    }
+    std::map<std::string, std::uint32_t> inUse;
+    for (const auto &[epoch, servers] : inUse_) {
+        for (const auto &[server, count] : servers) {
+            inUse[server] += count;
+        }
+    }
+    const scheduler::KnownServer *server =
+        chooser_.choose(now, question, view.servers, view.zonesOut, inUse);
+    if (server == nullptr) {
+        return SlotRefused { ResultCode::NoBackendServer, LocalRetryAfter,
+                             "no leader: no usable server in the view" };
+    }
+    return Slot { server->info.id, server->info.address, 0, 0 };
+}
+
+void SlotClient::noteUse(const Slot &slot)
+{
+    ++inUse_[slot.epoch][slot.server];
+}
+
+void SlotClient::release(const Slot &slot, scheduler::Outcome outcome, Duration latency)
+{
+    auto &servers = inUse_[slot.epoch];
+    if (--servers[slot.server] == 0) {
+        servers.erase(slot.server);
+    }
+    if (servers.empty()) {
+        inUse_.erase(slot.epoch);
+    }
+    const Instant now = timers_.now();
+    if (isPathFailure(outcome)) {
+        unreachableUntil_[slot.server] = now + UnreachablePause;
+    } else if (outcome == scheduler::Outcome::Success) {
+        unreachableUntil_.erase(slot.server);
+    }
+    if (slot.isLocal()) {
+        return;
+    }
+    wire::SlotRelease message;
+    message.set_epoch(slot.epoch);
+    message.set_slot(slot.number);
+    message.set_vm(vm_);
+    message.set_incarnation(incarnation_);
+    message.set_outcome(static_cast<std::uint32_t>(outcome));
+    message.set_latency_us(static_cast<std::uint64_t>(std::max<Duration::rep>(latency.count(), 0)));
+    leader_.release(message);
+}
+
+std::map<std::string, std::uint32_t> SlotClient::heldElsewhere(std::uint64_t epoch) const
+{
+    std::map<std::string, std::uint32_t> held;
+    for (const auto &[slotEpoch, servers] : inUse_) {
+        if (slotEpoch == epoch) {
+            continue;
+        }
+        for (const auto &[server, count] : servers) {
+            held[server] += count;
+        }
+    }
+    return held;
+}
+
+std::set<std::string> SlotClient::unreachable(const std::string &service) const
+{
+    const Instant now = timers_.now();
+    std::size_t known = 0;
+    std::set<std::string> servers;
+    for (const auto &[id, server] : leader_.view().servers) {
+        if (server.info.service != service) {
+            continue;
+        }
+        ++known;
+        const auto until = unreachableUntil_.find(id);
+        if (until != unreachableUntil_.end() && now < until->second) {
+            servers.insert(id);
+        }
+    }
+    // With most of them unreachable the fault is this VM's: avoiding them would leave nothing.
+    return servers.size() * 2 > known ? std::set<std::string> {} : servers;
+}
+
+} // namespace daisyhaven::gateway
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -72,14 +72,24 @@
         }
         ResponseHead head = std::get<ResponseHead>(checked);
         const bool bodiless = isHead_ || head.status == 204 || head.status == 304;
-        if (!bodiless && head.framing == Framing::None) {
-            refusal_ = { ResultCode::BackendMalformed, "the answer's length is not given" };
-            return false;
-        }
         if (head.status < 200) {
             refusal_ = { ResultCode::BackendMalformed, "interim answers are not supported" };
             return false;
         }
+        skipping_ = callbacks_.belongs && !callbacks_.belongs(head);
+        if (skipping_) {
+            const bool skippable = !bodiless && head.framing != Framing::None && head.keepAlive;
+            refusal_ = { ResultCode::BackendCrossed, "the answer belongs to another request" };
+            return skippable;
+        }
+        if (!bodiless && head.framing == Framing::None) {
+            keepAlive_ = false;
+            untilClose_ = true;
+            head.framing = Framing::UntilClose;
+            callbacks_.head(std::move(head));
+            // The parser would take the message for whole.
+            return false;
+        }
         keepAlive_ = head.keepAlive;
         // The parser would wait for a body that never comes.
         const bool endsHere = bodiless && (head.framing != Framing::None);
@@ -97,7 +107,9 @@
 
     bool onBody(std::string_view data) override
     {
-        callbacks_.body(data);
+        if (!skipping_) {
+            callbacks_.body(data);
+        }
         return true;
     }
 
@@ -136,6 +148,14 @@
         }
         if ((what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) != 0) {
             impl.open_ = false;
+            const bool wholeAnswer =
+                impl.untilClose_ && (what & BEV_EVENT_EOF) != 0 && (what & BEV_EVENT_ERROR) == 0;
+            if (wholeAnswer) {
+                impl.untilClose_ = false;
+                const auto end = impl.callbacks_.end;
+                end(false);
+                return;
+            }
             if (impl.callbacks_.closed) {
                 impl.callbacks_.closed();
             }
@@ -163,10 +183,30 @@
             if (consumed == 0) {
                 break;
             }
+            const bool skipped = skipping_ && finished_;
+            if (skipped) {
+                skipping_ = false;
+                finished_ = false;
+                reader_.restart();
+            }
+        }
+        if (untilClose_) {
+            passRawBody(input);
+            return;
         }
         settle(evbuffer_get_length(input));
     }
 
+    void passRawBody(evbuffer *input)
+    {
+        const std::size_t length = evbuffer_get_length(input);
+        if (length > 0) {
+            const auto *data = reinterpret_cast<const char *>(evbuffer_pullup(input, -1));
+            callbacks_.body({ data, length });
+            evbuffer_drain(input, length);
+        }
+    }
+
     void settle(std::size_t unread)
     {
         if (reader_.state() == internal::ReadState::Wants) {
@@ -201,6 +241,8 @@
     bool keepAlive_ = true;
     bool finished_ = false;
     bool endsAtHead_ = false;
+    bool untilClose_ = false;
+    bool skipping_ = false;
     bool open_ = true;
 };
 
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -63,8 +63,8 @@
     std::vector<Header> fields_;
 };
 
-// How the end of a body is known.
-enum class Framing : std::uint8_t { None, Length, Chunked };
+// How the end of a body is known. UntilClose: an answer that ends with its connection.
+enum class Framing : std::uint8_t { None, Length, Chunked, UntilClose };
 
 struct RequestHead
 {
@@ -125,6 +125,9 @@
     bool outputFull() const;
     // True while bytes of an answer have not left this process.
     bool hasPendingOutput() const;
+    // True from the first byte of a message to its end.
+    bool isReadingMessage() const;
+    Instant lastReceived() const;
 
     class Impl;
 
@@ -138,6 +141,9 @@
     struct Callbacks
     {
         std::function<void()> connected;
+        // Returns whether the answer belongs to the present request; others are read and dropped.
+        // May be empty: every answer belongs to it.
+        std::function<bool(const ResponseHead &)> belongs;
         std::function<void(ResponseHead)> head;
         std::function<void(std::string_view)> body;
         // The answer is whole. `reusable`: another request may be sent.
@@ -193,4 +199,48 @@
     std::unique_ptr<Impl> impl_;
 };
 
+// A request to an ApiServer, with its whole body.
+struct ApiRequest
+{
+    std::string method;
+    std::string path;
+    std::string body;
+};
+
+struct ApiAnswer
+{
+    int status = 200;
+    std::string contentType = "text/plain";
+    std::string body;
+    Headers headers;
+};
+
+// A small HTTP server whose handler may answer later.
+//
+// Example:
+//     server->handle([](const ApiRequest &request, const ApiServer::Respond &respond) {
+//         respond({ 200, "text/plain", "ready" });
+//     });
+class ApiServer
+{
+public:
+    // Runs once; calls after the connection has gone have no effect.
+    using Respond = std::function<void(ApiAnswer)>;
+    using Handler = std::function<void(const ApiRequest &, const Respond &)>;
+
+    // Larger bodies get 413. Errors: SettingsInvalid if the address cannot be bound.
+    static Result<std::unique_ptr<ApiServer>> open(event_base *base, TimerService &timers,
+                                                   const peer::Address &address,
+                                                   std::size_t maxBodyBytes, Handler handler);
+    ApiServer(const ApiServer &) = delete;
+    ApiServer &operator=(const ApiServer &) = delete;
+    ~ApiServer();
+
+    class Impl;
+
+private:
+    explicit ApiServer(std::unique_ptr<Impl> impl);
+    std::unique_ptr<Impl> impl_;
+};
+
 } // namespace daisyhaven::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -106,7 +106,7 @@
             return false;
         }
         answering_ = true;
-        keepAlive_ = std::get<RequestHead>(checked).keepAlive;
+        keepAlive_ = keepAlive_ && std::get<RequestHead>(checked).keepAlive;
         callbacks_.head(std::get<RequestHead>(checked));
         return true;
     }
@@ -127,7 +127,7 @@
     {
         std::string line = "HTTP/1.1 " + std::to_string(status) + " " + reasonOf(status);
         Headers all = headers;
-        if (!keepAlive_) {
+        if (!keepAlive_ || !requestEnded_) {
             all.add("Connection", "close");
         }
         const bool bodiless = status == 204 || status == 304 || status < 200;
@@ -168,6 +168,8 @@
 
     internal::Transport &transport() { return transport_; }
     void closeAfterAnswer() { keepAlive_ = false; }
+    bool isReadingMessage() const { return reader_.inMessage() && !requestEnded_; }
+    Instant lastReceived() const { return lastReceived_; }
 
 private:
     using linger_ = struct linger;
@@ -221,6 +223,7 @@
     void readMore()
     {
         evbuffer *input = bufferevent_get_input(transport_.get());
+        lastReceived_ = monotonicNow();
         if (closing_) {
             evbuffer_drain(input, evbuffer_get_length(input));
             return;
@@ -276,6 +279,7 @@
     bool lingering_ = false;
     bool closed_ = false;
     bool invalidReported_ = false;
+    Instant lastReceived_ = monotonicNow();
 };
 
 ServerConnection::ServerConnection(event_base *base, int socket, Callbacks callbacks)
@@ -336,6 +340,16 @@
     return impl_->transport().pendingOutput() > 0;
 }
 
+bool ServerConnection::isReadingMessage() const
+{
+    return impl_->isReadingMessage();
+}
+
+Instant ServerConnection::lastReceived() const
+{
+    return impl_->lastReceived();
+}
+
 class Listener::Impl
 {
 public:
--- a/src/main/main.cpp
+++ b/src/main/main.cpp
@@ -3,6 +3,7 @@
 #include "entry/entry.h"
 #include "observe/observe.h"
 #include "operator/operator.h"
+#include "platform/platform.h"
 #include "settings/settings.h"
 
 #include <docopt/docopt.h>
@@ -24,18 +25,22 @@
   daisyhaven entry --settings=FILE
   daisyhaven control --settings=FILE
   daisyhaven control-init --settings=FILE
+  daisyhaven platform entry
+  daisyhaven platform control
   daisyhaven -h | --help
 
 Options:
   --settings=FILE  Settings of this VM.
   -h --help        Show this page.
 
+On the users' platform, the variable DAISYHAVEN_NODE_FILE names the settings.
+
 Operators' commands: daisyhaven check|publish|key|zone|vm|replica|status --help
 )";
 
 bool isRole(std::string_view word)
 {
-    return word == "entry" || word == "control" || word == "control-init";
+    return word == "entry" || word == "control" || word == "control-init" || word == "platform";
 }
 
 int fail(const Failure &failure, int exitCode)
@@ -44,11 +49,25 @@
     return exitCode;
 }
 
+int runPlatformRole(bool entry)
+{
+    const auto ran = attempt([&]() -> Result<bool> {
+        using platform::PlatformRole;
+        BOOST_LEAF_CHECK(platform::runRole(entry ? PlatformRole::Entry : PlatformRole::Control));
+        return true;
+    });
+    const auto *failure = std::get_if<Failure>(&ran);
+    return failure == nullptr ? 0 : fail(*failure, ExitStopped);
+}
+
 int runRole(int argumentCount, char **arguments)
 {
     const std::vector<std::string> words(arguments + 1, arguments + argumentCount);
     const auto options = docopt::docopt(RoleUsage, words, true);
     startLogging("start", "", LogLevel::Error);
+    if (options.at("platform").asBool()) {
+        return runPlatformRole(options.at("entry").asBool());
+    }
     const bool entry = options.at("entry").asBool();
     const auto role = entry ? settings::VmRole::Entry : settings::VmRole::Control;
     const auto loaded = attempt(
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -1,17 +1,24 @@
 #include "observe/observe.h"
 
+#include <log4cxx/asyncappender.h>
 #include <log4cxx/basicconfigurator.h>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/fileappender.h>
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
+#include <chrono>
 
 namespace daisyhaven {
 
 namespace {
 
+constexpr int BufferedLines = 1024;
+constexpr int LinesPerSecond = 200;
+
 const char *const LogPattern = "%d{yyyy-MM-dd'T'HH:mm:ss.SSS} %p %c %m%n";
 
 log4cxx::LoggerPtr &processLogger()
@@ -43,6 +50,74 @@
     return text + "\"";
 }
 
+// Name of the process once structured logging has started; empty before.
+std::string &structuredProcess()
+{
+    static std::string name;
+    return name;
+}
+
+// Bounds the lines of one second.
+class LineLimit
+{
+public:
+    // Returns whether a line may be written now.
+    bool admit(std::chrono::steady_clock::time_point now)
+    {
+        if (now - secondStart_ >= std::chrono::seconds(1)) {
+            secondStart_ = now;
+            lines_ = 0;
+        }
+        if (lines_ < LinesPerSecond) {
+            ++lines_;
+            return true;
+        }
+        ++dropped_;
+        return false;
+    }
+
+    std::uint64_t takeDropped()
+    {
+        const std::uint64_t dropped = dropped_;
+        dropped_ = 0;
+        return dropped;
+    }
+
+private:
+    std::chrono::steady_clock::time_point secondStart_;
+    int lines_ = 0;
+    std::uint64_t dropped_ = 0;
+};
+
+std::string structuredLine(const EventInfo &info, const std::vector<Field> &fields)
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    nlohmann::ordered_json line;
+    line["timeMs"] = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+    line["level"] = info.level;
+    line["process"] = structuredProcess();
+    line["event"] = static_cast<int>(info.event);
+    line["name"] = info.name;
+    for (const Field &field : fields) {
+        line[field.name()] = field.value();
+    }
+    return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+void logStructured(const EventInfo &info, const std::vector<Field> &fields)
+{
+    static LineLimit limit;
+    if (!limit.admit(std::chrono::steady_clock::now())) {
+        return;
+    }
+    const std::uint64_t dropped = limit.takeDropped();
+    if (dropped > 0) {
+        const std::vector<Field> count { { "count", dropped } };
+        LOG4CXX_WARN(processLogger(), structuredLine(eventInfo(Event::LogLinesDropped), count));
+    }
+    LOG4CXX_INFO(processLogger(), structuredLine(info, fields));
+}
+
 } // namespace
 
 const std::vector<EventInfo> &eventTable()
@@ -53,6 +128,9 @@
           "SIGTERM came: health is red, requests in hand are finished." },
         { Event::ProcessStopped, "ProcessStopped", "info", "The process ends." },
         { Event::SettingsRejected, "SettingsRejected", "error", "The settings are invalid." },
+        { Event::SettingsReloaded, "SettingsReloaded", "info", "The settings were read again." },
+        { Event::LogLinesDropped, "LogLinesDropped", "warn",
+          "More lines were due than the limit allows; `count` were left out." },
         { Event::HealthChanged, "HealthChanged", "info", "The health page changed colour." },
         { Event::ConfigurationApplied, "ConfigurationApplied", "info",
           "A newer configuration is in force on this VM." },
@@ -72,6 +150,12 @@
           "The set of control replicas changed." },
         { Event::ChangeAccepted, "ChangeAccepted", "info",
           "An operator's change was committed by a majority of control replicas." },
+        { Event::LeaderFound, "LeaderFound", "info",
+          "This process follows a leader of the control group." },
+        { Event::LeaderLost, "LeaderLost", "warn",
+          "This process has no leader of the control group and decides by itself." },
+        { Event::ZoneChanged, "ZoneChanged", "info", "An availability zone was taken out or in." },
+        { Event::ChangeRefused, "ChangeRefused", "warn", "An operator's change was refused." },
         { Event::LeaseAcquired, "LeaseAcquired", "info", "This VM holds a lease." },
         { Event::LeaseLost, "LeaseLost", "warn", "This VM no longer holds a lease." },
         { Event::VoterRecovered, "VoterRecovered", "info",
@@ -95,6 +179,12 @@
           "A request that crashed its backend servers is refused from now on." },
         { Event::ConnectionSilent, "ConnectionSilent", "warn",
           "A connection was silent past its due and was closed." },
+        { Event::ServerSuspected, "ServerSuspected", "warn",
+          "Results say that a backend server fails; it gets trial requests only." },
+        { Event::ServerCleared, "ServerCleared", "info",
+          "A suspected backend server gets work again." },
+        { Event::ServerChanged, "ServerChanged", "info",
+          "What a backend server says of itself changed." },
         { Event::PeerConnected, "PeerConnected", "info",
           "A connection between processes is open." },
         { Event::PeerLost, "PeerLost", "warn", "A connection between processes was lost." },
@@ -102,6 +192,12 @@
           "A peer's identity, version or message was refused." },
         { Event::RequestFailed, "RequestFailed", "warn",
           "A caller's request got an answer of the fleet's own." },
+        { Event::RequestRefused, "RequestRefused", "info",
+          "A caller's request was refused; it did not run." },
+        { Event::RequestRetried, "RequestRetried", "info",
+          "A request goes to another backend server." },
+        { Event::RequestsSummed, "RequestsSummed", "info",
+          "Requests since the last such line, by outcome." },
         { Event::LedgerRecovered, "LedgerRecovered", "info",
           "A ledger replica copied its shard and counts again." },
     };
@@ -124,9 +220,29 @@
     processLogger() = Logger::getLogger("daisyhaven." + processName);
 }
 
+void startStructuredLogging(const std::string &processName)
+{
+    using namespace log4cxx;
+    const LayoutPtr layout(new PatternLayout("%m%n"));
+    const AppenderPtr console(new ConsoleAppender(layout, ConsoleAppender::getSystemOut()));
+    AsyncAppenderPtr buffered(new AsyncAppender());
+    buffered->setBufferSize(BufferedLines);
+    buffered->setBlocking(false);
+    buffered->addAppender(console);
+    Logger::getRootLogger()->removeAllAppenders();
+    Logger::getRootLogger()->addAppender(buffered);
+    Logger::getRootLogger()->setLevel(Level::getInfo());
+    processLogger() = Logger::getLogger("daisyhaven." + processName);
+    structuredProcess() = processName;
+}
+
 void logEvent(Event event, const std::vector<Field> &fields)
 {
     const EventInfo &info = eventInfo(event);
+    if (!structuredProcess().empty()) {
+        logStructured(info, fields);
+        return;
+    }
     std::string message = "event=" + std::to_string(static_cast<int>(event));
     message += " name=";
     message += info.name;
--- a/src/observe/observe.h
+++ b/src/observe/observe.h
@@ -28,6 +28,8 @@
     ProcessStopping = 1002,
     ProcessStopped = 1003,
     SettingsRejected = 1004,
+    SettingsReloaded = 1005,
+    LogLinesDropped = 1006,
     HealthChanged = 1101,
     ConfigurationApplied = 1201,
     ConfigurationStale = 1202,
@@ -39,6 +41,10 @@
     ControlRefusedStart = 1305,
     ControlMemberChanged = 1306,
     ChangeAccepted = 1307,
+    LeaderFound = 1308,
+    LeaderLost = 1309,
+    ZoneChanged = 1310,
+    ChangeRefused = 1311,
     LeaseAcquired = 1401,
     LeaseLost = 1402,
     VoterRecovered = 1403,
@@ -53,10 +59,16 @@
     EjectionWithheld = 1607,
     RequestQuarantined = 1608,
     ConnectionSilent = 1609,
+    ServerSuspected = 1610,
+    ServerCleared = 1611,
+    ServerChanged = 1612,
     PeerConnected = 1701,
     PeerLost = 1702,
     PeerRejected = 1703,
     RequestFailed = 1801,
+    RequestRefused = 1802,
+    RequestRetried = 1803,
+    RequestsSummed = 1804,
     LedgerRecovered = 1901,
 };
 
@@ -97,6 +109,11 @@
 // Sends events of `level` and above to standard error, and also to `file` unless it is empty.
 void startLogging(const std::string &processName, const std::string &file, LogLevel level);
 
+// Sends events as JSON objects, one a line, to standard output. A reader that stalls never blocks
+// the caller: lines that do not fit the buffer or the limit of lines a second are counted and left
+// out.
+void startStructuredLogging(const std::string &processName);
+
 // Writes one event as "event=1401 name=LeaseAcquired key=value ...".
 void logEvent(Event event, const std::vector<Field> &fields);
 
--- a/src/peer/address.cpp
+++ b/src/peer/address.cpp
@@ -30,11 +30,12 @@
 
 const char *methodName(Method method)
 {
-    static constexpr std::array<const char *, 18> Names {
-        "pulse",         "hold",         "configuration", "announce",  "acquire",
-        "release",       "gather",       "summary",       "tokens",    "ledger-start",
-        "ledger-finish", "ledger-store", "ledger-copy",   "consensus", "write",
-        "status",        "add-control",  "summaries",
+    static constexpr std::array<const char *, 22> Names {
+        "pulse",         "hold",         "configuration", "announce",   "acquire",
+        "release",       "gather",       "summary",       "tokens",     "ledger-start",
+        "ledger-finish", "ledger-store", "ledger-copy",   "consensus",  "write",
+        "status",        "add-control",  "summaries",     "fleet-view", "acquire-slot",
+        "release-slot",  "join",
     };
     return Names[static_cast<std::size_t>(method)];
 }
--- a/src/peer/client.cpp
+++ b/src/peer/client.cpp
@@ -3,8 +3,6 @@
 #include "observe/observe.h"
 
 #include <event2/bufferevent.h>
-#include <event2/bufferevent_ssl.h>
-#include <openssl/ssl.h>
 
 #include <sys/socket.h>
 
@@ -23,8 +21,10 @@
 class Connection
 {
 public:
-    Connection(event_base *base, TimerService &timers, ssl_ctx_st *context, Address address)
-        : base_(base), timers_(timers), context_(context), address_(std::move(address))
+    Connection(event_base *base, TimerService &timers, ssl_ctx_st *context, Protection protection,
+               Address address)
+        : base_(base), timers_(timers), context_(context), protection_(protection),
+          address_(std::move(address))
     {
         watch_ = timers_.every(WatchPeriod, [this] { watch(); });
     }
@@ -82,10 +82,7 @@
 
     void open()
     {
-        SSL *ssl = SSL_new(context_);
-        bufferevent *connection =
-            bufferevent_openssl_socket_new(base_, -1, ssl, BUFFEREVENT_SSL_CONNECTING,
-                                           BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+        bufferevent *connection = internal::makeConnection(base_, -1, context_, protection_);
         sockaddr_storage storage {};
         int length = sizeof(storage);
         auto *socketAddress = reinterpret_cast<sockaddr *>(&storage);
@@ -102,7 +99,8 @@
         callbacks.connected = [this] {
             logEvent(Event::PeerConnected, { { "address", address_.text() } });
         };
-        session_ = std::make_unique<internal::Session>(connection, false, std::move(callbacks));
+        session_ = std::make_unique<internal::Session>(connection, false, protection_,
+                                                       std::move(callbacks));
     }
 
     void finish(internal::Message message)
@@ -171,6 +169,7 @@
     event_base *base_;
     TimerService &timers_;
     ssl_ctx_st *context_;
+    Protection protection_;
     Address address_;
     Instant reconnectAt_;
     Instant owesSince_;
@@ -236,7 +235,8 @@
     {
         auto &connection = connections_[address];
         if (!connection) {
-            connection = std::make_unique<Connection>(base_, timers_, context_.get(), address);
+            connection = std::make_unique<Connection>(base_, timers_, context_.get(),
+                                                      credentials_.protection, address);
         }
         return *connection;
     }
--- a/src/peer/internal/session.cpp
+++ b/src/peer/internal/session.cpp
@@ -21,6 +21,8 @@
 
 constexpr std::uint32_t MaxConcurrentStreams = 10'000;
 constexpr std::int32_t WindowBytes = 16 * 1024 * 1024;
+// Identity of every caller of an unprotected connection.
+constexpr const char *UnprovenIdentity = "vm:unproven";
 constexpr const char *ResultHeader = "dh-result";
 
 nghttp2_nv header(const std::string &name, const std::string &value)
@@ -144,9 +146,25 @@
     return traffic;
 }
 
-Session::Session(bufferevent *connection, bool isServer, Callbacks callbacks)
+bufferevent *makeConnection(event_base *base, int socket, ssl_ctx_st *context,
+                            Protection protection)
+{
+    constexpr int Options = BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS;
+    if (protection == Protection::None) {
+        return bufferevent_socket_new(base, socket, Options);
+    }
+    SSL *ssl = SSL_new(context);
+    const auto state = socket < 0 ? BUFFEREVENT_SSL_CONNECTING : BUFFEREVENT_SSL_ACCEPTING;
+    bufferevent *connection = bufferevent_openssl_socket_new(base, socket, ssl, state, Options);
+    if (connection == nullptr) {
+        SSL_free(ssl);
+    }
+    return connection;
+}
+
+Session::Session(bufferevent *connection, bool isServer, Protection protection, Callbacks callbacks)
     : connection_(connection), callbacks_(std::move(callbacks)), isServer_(isServer),
-      lastReceived_(monotonicNow())
+      protection_(protection), lastReceived_(monotonicNow())
 {
     nghttp2_session_callbacks *hooks = nullptr;
     nghttp2_session_callbacks_new(&hooks);
@@ -171,6 +189,9 @@
                       this);
     bufferevent_enable(connection_, EV_READ | EV_WRITE);
     disableNagle(connection_);
+    if (isServer && protection == Protection::None) {
+        handshakeDone();
+    }
 }
 
 Session::~Session()
@@ -279,12 +300,20 @@
     }
 }
 
+std::string Session::provenIdentity() const
+{
+    if (protection_ == Protection::None) {
+        return UnprovenIdentity;
+    }
+    const char *identity = SSL_get_psk_identity(bufferevent_openssl_get_ssl(connection_));
+    return identity == nullptr ? "" : identity;
+}
+
 void Session::handshakeDone()
 {
     established_ = true;
-    SSL *ssl = bufferevent_openssl_get_ssl(connection_);
-    const char *identity = isServer_ ? SSL_get_psk_identity(ssl) : nullptr;
-    identity_ = identity == nullptr ? "" : identity;
+    identity_ = isServer_ ? provenIdentity() : "";
+    disableNagle(connection_);
     const std::shared_ptr<bool> alive = alive_;
     if (callbacks_.connected) {
         callbacks_.connected();
--- a/src/peer/internal/session.h
+++ b/src/peer/internal/session.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 struct bufferevent;
+struct event_base;
 struct nghttp2_session;
 struct ssl_ctx_st;
 
@@ -49,7 +50,7 @@
     };
 
     // Takes ownership of `connection`.
-    Session(bufferevent *connection, bool isServer, Callbacks callbacks);
+    Session(bufferevent *connection, bool isServer, Protection protection, Callbacks callbacks);
     Session(const Session &) = delete;
     Session &operator=(const Session &) = delete;
     ~Session();
@@ -81,6 +82,7 @@
     void flush();
     void handleEvent(short what);
     void handshakeDone();
+    std::string provenIdentity() const;
 
     bufferevent *connection_;
     nghttp2_session *session_ = nullptr;
@@ -88,12 +90,17 @@
     std::map<std::int32_t, Stream> streams_;
     std::vector<Message> finished_;
     bool isServer_;
+    Protection protection_;
     bool established_ = false;
     Instant lastReceived_;
     std::string identity_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
+// Opens a connection for `protection`: with TLS, `context` makes it; `socket` is -1 for a client.
+bufferevent *makeConnection(event_base *base, int socket, ssl_ctx_st *context,
+                            Protection protection);
+
 // Mutable counters behind peer::traffic().
 Traffic &mutableTraffic();
 
--- a/src/peer/internal/tls.cpp
+++ b/src/peer/internal/tls.cpp
@@ -79,6 +79,9 @@
 
 SslContext makeServerContext(const Credentials &credentials)
 {
+    if (credentials.protection == Protection::None) {
+        return {};
+    }
     SslContext context = makeContext(TLS_server_method(), credentials);
     SSL_CTX_set_psk_server_callback(context.get(), &serverKey);
     return context;
@@ -86,6 +89,9 @@
 
 SslContext makeClientContext(const Credentials &credentials)
 {
+    if (credentials.protection == Protection::None) {
+        return {};
+    }
     SslContext context = makeContext(TLS_client_method(), credentials);
     SSL_CTX_set_psk_client_callback(context.get(), &clientKey);
     return context;
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -1,5 +1,6 @@
 // The inner protocol: Protocol Buffers over nghttp2 streams between daisyhaven's own processes,
-// mutually authenticated by pre-shared keys over TLS 1.2 (ECDHE-PSK).
+// mutually authenticated by pre-shared keys over TLS 1.2 (ECDHE-PSK), or without protection where a
+// deployment hands out no keys.
 //
 // A call is one HTTP/2 stream: POST /v1/<method>, the request message as body, the reply message
 // or a Failure as answer. The version stands in the path, so that processes of two versions can
@@ -59,6 +60,10 @@
     Status,
     AddControl,
     Summaries,
+    FleetView,
+    AcquireSlot,
+    ReleaseSlot,
+    Join,
 };
 
 // Returns the name of `method` in paths, logs and metrics.
@@ -75,6 +80,7 @@
     {
         return a.host == b.host && a.port == b.port;
     }
+    friend bool operator!=(const Address &a, const Address &b) { return !(a == b); }
     friend bool operator<(const Address &a, const Address &b)
     {
         return std::tie(a.host, a.port) < std::tie(b.host, b.port);
@@ -84,6 +90,9 @@
 // Parses "127.0.0.1:7000" or "[::1]:7000". Errors: SettingsInvalid.
 Result<Address> parseAddress(std::string_view text);
 
+// Whether connections are authenticated and encrypted by pre-shared keys.
+enum class Protection : std::uint8_t { PreSharedKeys, None };
+
 // Identity and keys of this process. An empty key disables the role.
 struct Credentials
 {
@@ -91,6 +100,8 @@
     std::string name;
     std::string vmKey;
     std::string operatorKey;
+    // With None, every caller counts as a VM.
+    Protection protection = Protection::PreSharedKeys;
 };
 
 // Reads a key file: 64 hexadecimal digits. Errors: SettingsInvalid.
--- a/src/peer/server.cpp
+++ b/src/peer/server.cpp
@@ -3,9 +3,7 @@
 #include "observe/observe.h"
 
 #include <event2/bufferevent.h>
-#include <event2/bufferevent_ssl.h>
 #include <event2/listener.h>
-#include <openssl/ssl.h>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -97,12 +95,9 @@
 
     void open(evutil_socket_t socket)
     {
-        SSL *ssl = SSL_new(context_.get());
         bufferevent *connection =
-            bufferevent_openssl_socket_new(base_, socket, ssl, BUFFEREVENT_SSL_ACCEPTING,
-                                           BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+            internal::makeConnection(base_, socket, context_.get(), credentials_.protection);
         if (connection == nullptr) {
-            SSL_free(ssl);
             evutil_closesocket(socket);
             return;
         }
@@ -112,7 +107,8 @@
             dispatch(id, std::move(message));
         };
         callbacks.closed = [this, id](const std::string &) { sessions_.erase(id); };
-        sessions_[id] = std::make_unique<internal::Session>(connection, true, std::move(callbacks));
+        sessions_[id] = std::make_unique<internal::Session>(
+            connection, true, credentials_.protection, std::move(callbacks));
     }
 
     void dispatch(std::uint64_t id, internal::Message message)
--- a/src/control/internal/disklog.cpp
+++ b/src/replication/disklog.cpp
@@ -1,6 +1,6 @@
-#include "control/internal/disklog.h"
+#include "replication/replication.h"
 
-#include "control/internal/entrycodec.h"
+#include "replication/internal/entrycodec.h"
 
 #include <nlohmann/json.hpp>
 #include <openssl/rand.h>
@@ -15,7 +15,7 @@
 #include <filesystem>
 #include <fstream>
 
-namespace daisyhaven::control {
+namespace daisyhaven::replication {
 
 namespace {
 
@@ -134,6 +134,27 @@
     return replaceFile(folder, "identity", encodeRecord(document.dump()));
 }
 
+std::string encodeSyncedMark(std::uint64_t bytes)
+{
+    std::string payload(sizeof(bytes), '\0');
+    std::memcpy(payload.data(), &bytes, sizeof(bytes));
+    return encodeRecord(payload);
+}
+
+// The mark is written without a sync: a torn one says nothing.
+std::uint64_t readSyncedMark(std::string_view mark)
+{
+    std::uint64_t bytes = 0;
+    const auto decoded = attempt([&] { return decodeLog(mark, 0); });
+    const auto *log = std::get_if<DecodedLog>(&decoded);
+    const bool whole = log != nullptr && log->payloads.size() == 1
+        && log->payloads.front().size() == sizeof(bytes);
+    if (whole) {
+        std::memcpy(&bytes, log->payloads.front().data(), sizeof(bytes));
+    }
+    return bytes;
+}
+
 } // namespace
 
 std::string foundingIdentity(const std::string &vm)
@@ -262,12 +283,7 @@
 Result<void> DiskLog::openLog()
 {
     const std::string bytes = readFile(path("log"));
-    std::uint64_t syncedBytes = 0;
-    const std::string mark = readFile(path("synced"));
-    if (mark.size() == sizeof(syncedBytes)) {
-        std::memcpy(&syncedBytes, mark.data(), sizeof(syncedBytes));
-    }
-    BOOST_LEAF_AUTO(decoded, decodeLog(bytes, syncedBytes));
+    BOOST_LEAF_AUTO(decoded, decodeLog(bytes, readSyncedMark(readFile(path("synced")))));
     for (const std::string &payload : decoded.payloads) {
         wire::LogEntry message;
         if (!message.ParseFromString(payload)) {
@@ -314,8 +330,9 @@
 // The mark may lag behind the log, never run ahead of it.
 void DiskLog::noteSynced()
 {
-    const std::uint64_t bytes = ends_.empty() ? 0 : ends_.back();
-    const ssize_t written = ::pwrite(synced_, &bytes, sizeof(bytes), 0);
+    const std::string mark = encodeSyncedMark(ends_.empty() ? 0 : ends_.back());
+    // An older mark is as good: a failure needs no answer.
+    const ssize_t written = ::pwrite(synced_, mark.data(), mark.size(), 0);
     static_cast<void>(written);
 }
 
@@ -346,8 +363,8 @@
         ends_.push_back(bytes.size());
     }
     // The old mark does not fit the new file: it goes first.
-    const std::uint64_t nothing = 0;
-    if (::pwrite(synced_, &nothing, sizeof(nothing), 0) != sizeof(nothing)
+    const std::string nothing = encodeSyncedMark(0);
+    if (::pwrite(synced_, nothing.data(), nothing.size(), 0) != static_cast<ssize_t>(nothing.size())
         || ::fsync(synced_) != 0) {
         return boost::leaf::new_error(storageFailure(path("synced")));
     }
@@ -392,4 +409,4 @@
     return {};
 }
 
-} // namespace daisyhaven::control
+} // namespace daisyhaven::replication
--- a/src/control/internal/entrycodec.cpp
+++ b/src/replication/internal/entrycodec.cpp
@@ -1,8 +1,8 @@
-#include "control/internal/entrycodec.h"
+#include "replication/internal/entrycodec.h"
 
 #include <algorithm>
 
-namespace daisyhaven::control {
+namespace daisyhaven::replication {
 
 wire::LogEntry toWire(const consensus::Entry &entry)
 {
@@ -32,14 +32,20 @@
     return entry;
 }
 
+wire::ReplicaMember toWire(const consensus::MemberInfo &member)
+{
+    wire::ReplicaMember message;
+    message.set_vm(member.vm);
+    message.set_identity(member.identity);
+    message.set_peer_address(member.peerAddress);
+    return message;
+}
+
 wire::ReplicaMembers toWire(const consensus::Members &members)
 {
     wire::ReplicaMembers message;
     for (const consensus::MemberInfo &member : members) {
-        auto *added = message.add_members();
-        added->set_vm(member.vm);
-        added->set_identity(member.identity);
-        added->set_peer_address(member.peerAddress);
+        *message.add_members() = toWire(member);
     }
     return message;
 }
@@ -114,4 +120,4 @@
     return result;
 }
 
-} // namespace daisyhaven::control
+} // namespace daisyhaven::replication
--- a/src/control/internal/entrycodec.h
+++ b/src/replication/internal/entrycodec.h
@@ -3,8 +3,9 @@
 
 #include "consensus/consensus.h"
 #include "peer/generated/peer.pb.h"
+#include "replication/replication.h"
 
-namespace daisyhaven::control {
+namespace daisyhaven::replication {
 
 wire::LogEntry toWire(const consensus::Entry &entry);
 consensus::Entry fromWire(const wire::LogEntry &message);
@@ -15,4 +16,4 @@
 wire::ConsensusMessage toWire(const consensus::Message &message);
 consensus::Message fromWire(const wire::ConsensusMessage &message);
 
-} // namespace daisyhaven::control
+} // namespace daisyhaven::replication
--- a/src/result/result.h
+++ b/src/result/result.h
@@ -49,6 +49,8 @@
     DispatcherUnavailable = 209,
     LedgerUnavailable = 210,
     RequestInProgress = 211,
+    RetryBudgetSpent = 212,
+    NotReady = 213,
     // 3xx: the backend server's side.
     BackendConnectFailed = 301,
     BackendShed = 302,
--- /dev/null
+++ b/src/scheduler/internal/state.h
@@ -0,0 +1,80 @@
+// What the Scheduler knows of services and servers; private to the package.
+#pragma once
+
+#include "scheduler/internal/serverhealth.h"
+#include "scheduler/internal/tokenbucket.h"
+#include "scheduler/scheduler.h"
+
+#include <deque>
+#include <list>
+
+namespace daisyhaven::scheduler::internal {
+
+// Counts first tries and repeats of one service in a sliding window.
+class RepeatBudget
+{
+public:
+    void noteFirst(Instant now) { firsts_.push_back(now); }
+    void noteRepeat(Instant now) { repeats_.push_back(now); }
+
+    bool allows(Instant now, const Limits &limits)
+    {
+        drop(firsts_, now - limits.retryWindow);
+        drop(repeats_, now - limits.retryWindow);
+        const double allowed =
+            limits.retryRatio * static_cast<double>(firsts_.size()) + limits.retrySlack;
+        return static_cast<double>(repeats_.size()) + 1 <= allowed;
+    }
+
+private:
+    static void drop(std::deque<Instant> &times, Instant before)
+    {
+        while (!times.empty() && times.front() < before) {
+            times.pop_front();
+        }
+    }
+
+    std::deque<Instant> firsts_;
+    std::deque<Instant> repeats_;
+};
+
+struct ServerState
+{
+    ServerState(ServerInfo serverInfo, Instant now) : info(std::move(serverInfo)), health(now) { }
+
+    ServerInfo info;
+    ServerHealth health;
+    TokenBucket cold;
+    std::uint32_t granted = 0;
+    std::uint32_t heldElsewhere = 0;
+    // A suspected server gets its next request then.
+    Instant trialAt;
+    Duration trialPause { 0 };
+    // After it shed a request it gets nothing until then.
+    Instant fullUntil;
+    // Another server answers at its address.
+    bool misdirected = false;
+
+    std::uint32_t inFlight() const { return granted + heldElsewhere; }
+};
+
+struct ServiceState
+{
+    std::string name;
+    std::map<std::string, std::unique_ptr<ServerState>> servers;
+    std::list<Question> waiting;
+    RepeatBudget repeats;
+    double microsecondsPerRequest = 150'000;
+    double coldPerSecond = 0;
+    Duration coldStart { 0 };
+    // As of the last tick.
+    std::uint32_t usableSlots = 0;
+    std::uint32_t openServers = 0;
+    // Too few servers are above suspicion: the best of the others are used as well.
+    bool relaxed = false;
+    // When a request that may be repeated came last.
+    Instant repeatableAt;
+    std::uint64_t served = 0;
+};
+
+} // namespace daisyhaven::scheduler::internal
--- /dev/null
+++ b/src/scheduler/scheduler.h
@@ -0,0 +1,315 @@
+// Grants the slots of all backend servers of a fleet from one place.
+//
+// The Scheduler lives on the leader of the control group. It sees every start and every result of
+// every entry VM, so slots, cold-start limits, team rates and retry budgets hold exactly over all
+// VMs, and a backend server that starts to fail is known to all at once. Requests that find no slot
+// wait, the most urgent first and among equals first those that can still be answered within their
+// target; a request that cannot be served before its deadline is refused at once.
+//
+// LocalChooser is what an entry VM uses while it has no leader: it chooses by its own view and
+// keeps to shares of the limits.
+//
+// Example:
+//     Scheduler scheduler(term, seed, now);
+//     scheduler.setTable(now, table);
+//     scheduler.setServer(now, server);
+//     scheduler.ask(now, question);
+//     for (const Action &action : scheduler.takeActions()) { ... }
+//
+// Thread safety: none; no I/O and no clock inside.
+#pragma once
+
+#include "result/result.h"
+#include "routing/routing.h"
+#include "scheduler/internal/tokenbucket.h"
+#include "timer/timer.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <tuple>
+#include <variant>
+#include <vector>
+
+namespace daisyhaven::scheduler {
+
+// How the use of a slot ended.
+enum class Outcome : std::uint8_t {
+    Success = 0,
+    ServerError = 1, // a whole answer that says that the server failed
+    Shed = 2, // the server said that it did not run the request
+    BrokenAnswer = 3, // truncated, or not an answer
+    ConnectRefused = 4,
+    ConnectTimeout = 5,
+    ConnectionLost = 6, // after the request was sent, before an answer
+    NoAnswer = 7, // given up after the time limit
+    NotSent = 8, // says nothing of the server
+    Cancelled = 9, // the caller left; says nothing of the server
+    WrongServer = 10, // another server has the address now
+};
+constexpr Outcome LastOutcome = Outcome::WrongServer;
+
+// A backend server that may get work.
+struct ServerInfo
+{
+    std::string id;
+    std::string service;
+    std::string address;
+    std::string zone;
+    std::uint32_t slots = 1;
+    bool draining = false;
+    Instant coldUntil;
+    // Start of its process, Unix milliseconds.
+    std::uint64_t born = 0;
+
+    auto tied() const
+    {
+        return std::tie(id, service, address, zone, slots, draining, coldUntil, born);
+    }
+    friend bool operator==(const ServerInfo &a, const ServerInfo &b)
+    {
+        return a.tied() == b.tied();
+    }
+};
+
+// Identifies one try of one request, fleet-wide.
+struct QuestionKey
+{
+    std::string vm;
+    std::uint64_t incarnation = 0;
+    std::uint64_t number = 0;
+
+    auto tied() const { return std::tie(vm, incarnation, number); }
+    friend bool operator==(const QuestionKey &a, const QuestionKey &b)
+    {
+        return a.tied() == b.tied();
+    }
+    friend bool operator<(const QuestionKey &a, const QuestionKey &b)
+    {
+        return a.tied() < b.tied();
+    }
+};
+
+// A request that wants a slot.
+struct Question
+{
+    QuestionKey key;
+    std::string requestId;
+    std::string service;
+    std::string team;
+    std::string route;
+    std::uint32_t priority = 1;
+    bool repeatable = false;
+    // A large body: prefers a server of its own zone.
+    bool bulk = false;
+    // An earlier try was sent: counts against the retry budget.
+    bool retry = false;
+    // An earlier try of this request took a token of the team's rate.
+    bool hasToken = false;
+    Instant deadline;
+    // An answer until then is worth most.
+    Instant target;
+    std::string zone;
+    std::set<std::string> avoid;
+    // Servers to which the VM has an idle connection.
+    std::set<std::string> connected;
+    // Equal for requests that would do the same.
+    std::uint64_t fingerprint = 0;
+};
+
+struct Grant
+{
+    QuestionKey key;
+    std::uint64_t slot = 0;
+    std::string server;
+    std::string address;
+};
+
+struct Refusal
+{
+    QuestionKey key;
+    ResultCode code = ResultCode::NoBackendServer;
+    Duration retryAfter { 0 };
+    // The figures that decided, for logs.
+    std::string reason;
+};
+
+// The belief about a server changed.
+struct BeliefChange
+{
+    std::string server;
+    bool suspected = false;
+    double failing = 0;
+    std::string cause;
+};
+
+using Action = std::variant<Grant, Refusal, BeliefChange>;
+
+// Bounds that hold over all VMs together.
+struct Limits
+{
+    // Repeats that a service may get in a window: ratio x its requests + slack.
+    double retryRatio = 0.15;
+    double retrySlack = 40;
+    Duration retryWindow = Seconds(10);
+    // A share of the servers of a service that gets work even if their results are bad.
+    double floorShare = 0.7;
+    // A team may exceed rate and burst by this fraction, and by this many requests more.
+    double rateOvershoot = 0;
+    double rateSlack = 0;
+};
+
+namespace internal {
+struct ServiceState;
+struct ServerState;
+class TeamRates;
+class CrashRecords;
+} // namespace internal
+
+class Scheduler
+{
+public:
+    Scheduler(std::uint64_t epoch, Limits limits, std::uint64_t seed);
+    Scheduler(const Scheduler &) = delete;
+    Scheduler &operator=(const Scheduler &) = delete;
+    ~Scheduler();
+
+    // A new configuration. Rates of teams that are new to this scheduler start with `firstTokens`
+    // of their burst: 0 after a take-over, since others may have spent it.
+    void setTable(Instant now, std::shared_ptr<const routing::RoutingTable> table,
+                  double firstTokens);
+    // Zones that get nothing. A zone that comes back counts as cold.
+    void setZonesOut(Instant now, const std::set<std::string> &zones);
+    void setServer(Instant now, const ServerInfo &server);
+    void removeServer(Instant now, const std::string &id);
+    // Slots that a VM holds and this scheduler did not grant.
+    void setHeldElsewhere(Instant now, const std::string &vm,
+                          const std::map<std::string, std::uint32_t> &slotsByServer);
+
+    void ask(Instant now, Question question);
+    void withdraw(Instant now, const QuestionKey &key);
+    // Ends the use of a slot. Unknown slots are ignored: messages come late or twice.
+    void release(Instant now, std::uint64_t slot, Outcome outcome, Duration latency);
+    // Runs what is due; call about every 20 ms.
+    void tick(Instant now);
+
+    std::vector<Action> takeActions();
+    std::uint64_t epoch() const { return epoch_; }
+    bool isSuspected(const std::string &server) const;
+
+    // For tests and metrics.
+    std::uint32_t inFlight(const std::string &server) const;
+    std::size_t waiting() const;
+    std::size_t granted() const { return held_.size(); }
+
+private:
+    struct Held
+    {
+        std::string service;
+        std::string server;
+        std::string vm;
+        std::string route;
+        std::string team;
+        std::uint64_t fingerprint = 0;
+        QuestionKey key;
+        Instant grantedAt;
+        Instant expiresAt;
+        int overdueSteps = 0;
+    };
+
+    struct RouteTime
+    {
+        double microseconds = 0;
+    };
+
+    internal::ServiceState &serviceOf(const std::string &name);
+    bool place(Instant now, internal::ServiceState &service, const Question &question);
+    internal::ServerState *choose(Instant now, internal::ServiceState &service,
+                                  const Question &question);
+    double cost(Instant now, const internal::ServerState &server, const Question &question) const;
+    bool mayUse(Instant now, const internal::ServiceState &service, internal::ServerState &server,
+                const Question &question) const;
+    bool isOpen(const internal::ServerState &server) const;
+    bool hasRoom(Instant now, internal::ServerState &server) const;
+    void grant(Instant now, internal::ServerState &server, const Question &question);
+    void enqueue(Instant now, internal::ServiceState &service, Question question);
+    void serveWaiting(Instant now, internal::ServiceState &service);
+    void refuseLate(Instant now, internal::ServiceState &service);
+    void refuse(Instant now, const Question &question, ResultCode code, Duration retryAfter,
+                std::string reason);
+    void freeSlot(Instant now, std::uint64_t slot);
+    void watchOverdue(Instant now);
+    void learnLatency(const std::string &route, Duration latency);
+    double usualLatency(const std::string &route) const;
+    void reportBelief(Instant now, internal::ServerState &server, const std::string &cause);
+    Instant latestStart(const Question &question) const;
+    Duration expectedWait(Instant now, internal::ServiceState &service, std::uint32_t priority);
+    void countUsable(Instant now, internal::ServiceState &service);
+
+    std::uint64_t epoch_;
+    Limits limits_;
+    std::mt19937_64 random_;
+    std::shared_ptr<const routing::RoutingTable> table_;
+    std::set<std::string> zonesOut_;
+    std::map<std::string, std::unique_ptr<internal::ServiceState>> services_;
+    std::map<std::string, internal::ServerState *> servers_;
+    std::map<std::string, std::map<std::string, std::uint32_t>> heldElsewhere_;
+    std::map<std::uint64_t, Held> held_;
+    std::map<QuestionKey, std::uint64_t> slotsByKey_;
+    std::map<std::string, RouteTime> routeTimes_;
+    std::unique_ptr<internal::TeamRates> rates_;
+    std::unique_ptr<internal::CrashRecords> crashes_;
+    std::uint64_t lastSlot_ = 0;
+    std::vector<Action> actions_;
+    std::set<std::string> suspected_;
+};
+
+// A server as an entry VM knows it from its last view.
+struct KnownServer
+{
+    ServerInfo info;
+    bool suspected = false;
+    // Of its last announcement.
+    std::uint64_t sequence = 0;
+};
+
+// Chooses servers on an entry VM that has no leader, within shares of the limits.
+class LocalChooser
+{
+public:
+    explicit LocalChooser(std::uint64_t seed) : random_(seed) { }
+
+    // Entry VMs that share the limits, and what all of them together may exceed a burst by.
+    void setSharing(std::size_t entryVms, double rateSlack);
+    // Notes what the leader answered, to know this VM's share of the team's rate.
+    void noteAdmitted(Instant now, const std::string &team);
+    void noteRefused(Instant now, const std::string &team);
+    // Takes a token of the team's share, if there is one. A team without a limit always has one.
+    bool admit(Instant now, const routing::Team &team);
+    // Returns the server for `question`, or nullptr. `inUse`: this VM's requests by server.
+    const KnownServer *choose(Instant now, const Question &question,
+                              const std::map<std::string, KnownServer> &servers,
+                              const std::set<std::string> &zonesOut,
+                              const std::map<std::string, std::uint32_t> &inUse);
+
+private:
+    struct Share
+    {
+        std::deque<Instant> admitted;
+        Instant refusedAt;
+        // Set while this VM admits by itself.
+        std::optional<internal::TokenBucket> bucket;
+    };
+
+    std::mt19937_64 random_;
+    std::size_t entryVms_ = 1;
+    double rateSlack_ = 0;
+    std::map<std::string, Share> shares_;
+};
+
+} // namespace daisyhaven::scheduler
--- a/src/timer/timer.cpp
+++ b/src/timer/timer.cpp
@@ -2,6 +2,8 @@
 
 #include <event2/event.h>
 
+#include <ctime>
+
 namespace daisyhaven {
 
 namespace {
@@ -52,7 +54,10 @@
 
 Instant monotonicNow()
 {
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    timespec time {};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    const auto sinceBoot = Seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec);
+    return Instant(std::chrono::duration_cast<Duration>(sinceBoot));
 }
 
 std::int64_t wallClockMicroseconds()
--- a/src/timer/timer.h
+++ b/src/timer/timer.h
@@ -24,7 +24,8 @@
 // Monotonic time of this process; comparable only within it.
 using Instant = std::chrono::time_point<std::chrono::steady_clock, Duration>;
 
-// Returns the current monotonic time.
+// Returns the current monotonic time. It counts while the VM is suspended, so that leases and
+// deadlines run out meanwhile.
 Instant monotonicNow();
 
 // Returns wall-clock microseconds since the Unix epoch, for traces and logs.
