--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -48,7 +48,8 @@
         : settings_(settings), base_(event_base_new()), timers_(base_.get()),
           server_(base_.get(), serverCredentials(settings)),
           clients_(base_.get(), timers_, serverCredentials(settings)),
-          runner_(timers_, server_, clients_, std::move(disk), settings.peerAddress, callbacks()),
+          runner_(timers_, server_, clients_, std::move(disk), settings.peerAddress, {},
+                  callbacks()),
           replica_(runner_.replica()), voterVersions_(settings.fleet.voters.size()),
           voterHolds_(settings.fleet.voters.size())
     {
--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -20,6 +20,10 @@
 // Changes of suspicion are told together, this far apart.
 constexpr Milliseconds BeliefPushPeriod { 100 };
 constexpr Milliseconds GroupPeriod { 100 };
+// Servers that joined meanwhile are written to the log together.
+constexpr Milliseconds RememberPeriod { 50 };
+// Short enough that requests can wait for a new leader; round trips take 2 ms.
+constexpr consensus::Timings LogTimings { Milliseconds(60), Milliseconds(300), Milliseconds(550) };
 constexpr Milliseconds JoinPeriod { 300 };
 constexpr Milliseconds JoinTimeout { 1000 };
 // A member that hears no leader for this long asks to be taken in again.
@@ -62,7 +66,8 @@
          std::function<void(const Failure &)> stopped)
         : timers_(timers), server_(server), clients_(clients), options_(std::move(options)),
           stopped_(std::move(stopped)),
-          runner_(timers, server, clients, std::move(disk), options_.self, replicaCallbacks()),
+          runner_(timers, server, clients, std::move(disk), options_.self, LogTimings,
+                  replicaCallbacks()),
           group_(options_.groupSize),
           follower_(timers, clients,
                     { options_.vm, incarnation_, options_.seeds, options_.self, options_.reader },
@@ -139,6 +144,7 @@
             timers_.now(), announcement, [this](const std::string &id) { serverRemoved(id); });
         if (effect == directory::Effect::Changed) {
             serverChanged(announcement.id, true);
+            toRemember_.insert(announcement.id);
         } else if (effect == directory::Effect::Refreshed
                    && announcement.coldRemaining.count() > 0) {
             updateScheduler(announcement.id);
@@ -279,6 +285,7 @@
         const Instant now = timers_.now();
         switch (change) {
         case DurableState::Change::Nothing:
+        case DurableState::Change::Servers:
             return;
         case DurableState::Change::Document:
             logEvent(Event::ChangeAccepted, { { "version", state_.version() } });
@@ -333,7 +340,8 @@
         const Instant now = timers_.now();
         const std::uint64_t epoch = runner_.replica().term();
         scheduler_ =
-            std::make_unique<scheduler::Scheduler>(epoch, options_.limits, std::random_device {}());
+            std::make_unique<scheduler::Scheduler>(epoch, options_.limits,
+                                                            std::random_device {}(), now);
         viewLog_ = ViewLog();
         takeTable(0);
         scheduler_->setZonesOut(now, state_.zonesOut());
@@ -354,8 +362,11 @@
     void rebuildDirectory(Instant now)
     {
         const FleetView &view = follower_.view();
-        if (view.epoch > ledEpoch_) {
+        if (view.epoch > ledEpoch_ || directory_.entries().empty()) {
             directory_ = directory::Directory();
+            for (const auto &[id, server] : state_.servers()) {
+                directory_.seed(now, toAnnouncement(now, fromWire(now, server)));
+            }
             for (const auto &[id, server] : view.servers) {
                 directory_.seed(now, toAnnouncement(now, server));
             }
@@ -369,6 +380,7 @@
     void stopLeading()
     {
         scheduler_.reset();
+        toRemember_.clear();
         follower_.setActive(true);
         const Failure lost { ResultCode::NotLeader, "this replica no longer leads" };
         std::map<std::uint64_t, PendingChange> pending;
@@ -406,6 +418,7 @@
         directory_.expire(now, ServerRetention,
                           [this](const std::string &id) { serverRemoved(id); });
         forgetVms(now);
+        rememberServers(now);
         carryOutActions();
         const bool beliefsDue = beliefsChanged_ && now - beliefsToldAt_ > BeliefPushPeriod;
         if (beliefsDue) {
@@ -415,6 +428,27 @@
         answerWatchers(now, beliefsDue);
     }
 
+    // Writes what changed of the servers to the log; nobody waits for it.
+    void rememberServers(Instant now)
+    {
+        if (toRemember_.empty() || now - rememberedAt_ < RememberPeriod) {
+            return;
+        }
+        rememberedAt_ = now;
+        wire::CoordinationCommand command;
+        wire::KnownServers *servers = command.mutable_servers();
+        for (const std::string &id : toRemember_) {
+            const directory::Entry *entry = directory_.find(id);
+            if (entry != nullptr && !entry->said.draining) {
+                *servers->add_servers() = toWire(now, toKnownServer(*entry, false));
+            } else {
+                servers->add_forgotten(id);
+            }
+        }
+        toRemember_.clear();
+        propose(std::move(command), [](const ChangeOutcome &) {});
+    }
+
     void forgetVms(Instant now)
     {
         for (auto vm = vmsHeardAt_.begin(); vm != vmsHeardAt_.end();) {
@@ -465,6 +499,9 @@
     {
         scheduler_->removeServer(timers_.now(), id);
         viewLog_.noteRemoval(id);
+        if (state_.servers().count(id) != 0) {
+            toRemember_.insert(id);
+        }
         wakeWatchers();
     }
 
@@ -761,6 +798,8 @@
     std::map<scheduler::QuestionKey, SlotRespond> questions_;
     std::list<Watcher> watchers_;
     std::map<std::string, Instant> vmsHeardAt_;
+    std::set<std::string> toRemember_;
+    Instant rememberedAt_;
     bool wakePosted_ = false;
     bool beliefsChanged_ = false;
     Instant beliefsToldAt_;
--- a/src/coordination/durablestate.cpp
+++ b/src/coordination/durablestate.cpp
@@ -38,11 +38,25 @@
             { command.departure().id(), command.departure().born(), command.departure().gone() });
         return Change::Departures;
     }
+    if (command.has_servers()) {
+        for (const wire::FleetServer &server : command.servers().servers()) {
+            servers_[server.id()] = server;
+        }
+        for (const std::string &id : command.servers().forgotten()) {
+            servers_.erase(id);
+        }
+        return Change::Servers;
+    }
     return Change::Nothing;
 }
 
 void DurableState::remember(directory::Departure departure)
 {
+    const auto server = servers_.find(departure.id);
+    const bool left = server != servers_.end() && server->second.born() <= departure.born;
+    if (left) {
+        servers_.erase(server);
+    }
     const auto known =
         std::find_if(departures_.begin(), departures_.end(),
                      [&](const directory::Departure &other) { return other.id == departure.id; });
@@ -80,6 +94,9 @@
         added->set_born(departure.born);
         added->set_gone(departure.gone);
     }
+    for (const auto &[id, server] : servers_) {
+        *state.add_servers() = server;
+    }
     return state;
 }
 
@@ -93,6 +110,10 @@
     document_ = state.document();
     index_ = state.index();
     zonesOut_ = { state.zones_out().begin(), state.zones_out().end() };
+    servers_.clear();
+    for (const wire::FleetServer &server : state.servers()) {
+        servers_[server.id()] = server;
+    }
     departures_.clear();
     for (const wire::Departure &departure : state.departures()) {
         departures_.push_back({ departure.id(), departure.born(), departure.gone() });
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -19,6 +19,9 @@
 constexpr Milliseconds LeastTimeForAnotherTry { 80 };
 // Tries that end before anything was sent.
 constexpr std::uint32_t MaxUnsentTries = 4;
+// A VM that has just started gets this long to learn its configuration before requests are refused.
+constexpr Milliseconds ConfigurationPatience { 600 };
+constexpr Milliseconds ConfigurationCheck { 25 };
 constexpr std::string_view BearerScheme = "Bearer ";
 
 std::string bearerKey(const http::Headers &headers)
@@ -88,6 +91,12 @@
         return true;
     });
     if (const auto *failure = std::get_if<Failure>(&found)) {
+        const bool wait = failure->code == ResultCode::NotReady
+            && parts_.now() - startedAt_ < ConfigurationPatience && parts_.now() < deadline_;
+        if (wait) {
+            admitLater();
+            return;
+        }
         refuse(failure->code, failure->detail, Milliseconds(500));
         return;
     }
@@ -119,6 +128,17 @@
     }
 }
 
+void Exchange::admitLater()
+{
+    const std::weak_ptr<Exchange> weak = weak_from_this();
+    deadlineTimer_ = parts_.timers.after(ConfigurationCheck, [weak] {
+        const auto self = weak.lock();
+        if (self && self->stage_ == Stage::Body) {
+            self->admit();
+        }
+    });
+}
+
 Result<void> Exchange::findRouteAndTeam()
 {
     table_ = parts_.leader.view().table;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -18,7 +18,7 @@
 // Idle connections of callers are closed from then on.
 constexpr Milliseconds CloseIdleAfter { 2600 };
 // The process ends this long before it would be killed.
-constexpr Milliseconds EndReserve { 250 };
+constexpr Milliseconds EndReserve { 700 };
 constexpr Seconds SummaryPeriod { 10 };
 
 } // namespace
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -57,6 +57,7 @@
     enum class Stage : std::uint8_t { Body, Slot, Running, Done };
 
     void admit();
+    void admitLater();
     Result<void> findRouteAndTeam();
     void readDeadline();
     bool bodyReady() const;
--- a/src/gateway/servercall.cpp
+++ b/src/gateway/servercall.cpp
@@ -13,7 +13,7 @@
 constexpr std::size_t WholeAnswerBytes = 128UL * 1024;
 // A connection that was idle for longer may have been closed or forgotten meanwhile.
 constexpr Milliseconds LongestIdleRepeatable { 8000 };
-constexpr Milliseconds LongestIdleOnce { 4000 };
+constexpr Milliseconds LongestIdleOnce { 8000 };
 constexpr Seconds UsualKeepAlive { 9 };
 constexpr Milliseconds KeepAliveReserve { 600 };
 
--- a/src/peer/client.cpp
+++ b/src/peer/client.cpp
@@ -14,6 +14,8 @@
 constexpr Milliseconds PingAfterSilence { 100 };
 constexpr Milliseconds CloseAfterSilence { 1500 };
 constexpr Milliseconds ReconnectDelay { 100 };
+// Opening packets that were lost are sent again ever later: a new connection is quicker.
+constexpr Milliseconds ConnectLimit { 400 };
 
 } // namespace
 
@@ -99,6 +101,7 @@
         callbacks.connected = [this] {
             logEvent(Event::PeerConnected, { { "address", address_.text() } });
         };
+        openedAt_ = timers_.now();
         session_ = std::make_unique<internal::Session>(connection, false, protection_,
                                                        std::move(callbacks));
     }
@@ -154,6 +157,12 @@
     // Closes the connection if something is due and nothing was received for too long.
     void watch()
     {
+        const bool stuck = session_ && !session_->established()
+            && timers_.now() - openedAt_ > ConnectLimit;
+        if (stuck) {
+            close("no connection in time");
+            return;
+        }
         if (!session_ || calls_.empty()) {
             return;
         }
@@ -172,6 +181,7 @@
     Protection protection_;
     Address address_;
     Instant reconnectAt_;
+    Instant openedAt_;
     Instant owesSince_;
     Subscription watch_;
     std::map<std::int32_t, Call> calls_;
--- a/src/replication/replication.h
+++ b/src/replication/replication.h
@@ -124,7 +124,7 @@
 public:
     ReplicaRunner(TimerService &timers, peer::Server &server, peer::ClientPool &clients,
                   std::unique_ptr<DiskLog> disk, const peer::Address &self,
-                  ReplicaCallbacks callbacks);
+                  const consensus::Timings &timings, ReplicaCallbacks callbacks);
     ReplicaRunner(const ReplicaRunner &) = delete;
     ReplicaRunner &operator=(const ReplicaRunner &) = delete;
 
--- a/src/replication/runner.cpp
+++ b/src/replication/runner.cpp
@@ -16,10 +16,10 @@
 
 ReplicaRunner::ReplicaRunner(TimerService &timers, peer::Server &server, peer::ClientPool &clients,
                              std::unique_ptr<DiskLog> disk, const peer::Address &self,
-                             ReplicaCallbacks callbacks)
+                             const consensus::Timings &timings, ReplicaCallbacks callbacks)
     : timers_(timers), server_(server), clients_(clients), disk_(std::move(disk)),
       replica_({ disk_->identity().vm, disk_->identity().identity, self.text() }, disk_->stored(),
-               {}, std::random_device {}(), timers.now()),
+               timings, std::random_device {}(), timers.now()),
       callbacks_(std::move(callbacks))
 {
 }
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -16,12 +16,15 @@
 
 // A server is suspected from this probability of failing on; until then a higher one only makes it
 // less attractive.
-constexpr double SuspectedFrom = 0.35;
+constexpr double SuspectedFrom = 0.3;
 constexpr double RelaxedFrom = 0.8;
+// A request that cannot be sent again goes to servers below this probability only.
+constexpr double TrustedBelow = 0.12;
 constexpr double CostOfFailing = 2.0;
-constexpr double CostOfOtherZone = 0.12;
+constexpr double CostOfFailingOnce = 5.0;
+constexpr double CostOfOtherZone = 0.2;
 constexpr double CostOfOtherZoneForBulk = 0.35;
-constexpr double CostOfNewConnection = 0.10;
+constexpr double CostOfNewConnection = 0.25;
 constexpr double CostOfSlowness = 0.25;
 constexpr double CostJitter = 0.05;
 constexpr double LargestSlowness = 3;
@@ -51,6 +54,7 @@
 constexpr Milliseconds SmallestRetryAfter { 50 };
 constexpr Milliseconds LongestRetryAfter { 3000 };
 constexpr double ColdBurst = 2;
+constexpr Seconds SettlingTime { 2 };
 
 Duration microseconds(double count)
 {
@@ -93,8 +97,8 @@
 
 } // namespace
 
-Scheduler::Scheduler(std::uint64_t epoch, Limits limits, std::uint64_t seed)
-    : epoch_(epoch), limits_(limits), random_(seed),
+Scheduler::Scheduler(std::uint64_t epoch, Limits limits, std::uint64_t seed, Instant now)
+    : epoch_(epoch), limits_(limits), random_(seed), startedAt_(now),
       table_(std::make_shared<const routing::RoutingTable>()),
       rates_(std::make_unique<internal::TeamRates>(limits)),
       crashes_(std::make_unique<internal::CrashRecords>())
@@ -281,13 +285,14 @@
     if (excluded || !isOpen(server) || !hasRoom(now, server)) {
         return false;
     }
-    return server.health.failing(now) < (service.relaxed ? RelaxedFrom : SuspectedFrom);
+    const double limit = question.repeatable ? SuspectedFrom : TrustedBelow;
+    return server.health.failing(now) < (service.relaxed ? RelaxedFrom : limit);
 }
 
 double Scheduler::cost(Instant now, const ServerState &server, const Question &question) const
 {
     double cost = (server.inFlight() + 0.5) / std::max<std::uint32_t>(server.info.slots, 1);
-    cost += CostOfFailing * server.health.failing(now);
+    cost += (question.repeatable ? CostOfFailing : CostOfFailingOnce) * server.health.failing(now);
     const double slowness = std::clamp(server.health.slowness(), SmallestSlowness, LargestSlowness);
     cost += CostOfSlowness * (slowness - 1);
     if (server.info.zone != question.zone) {
@@ -375,8 +380,11 @@
 void Scheduler::enqueue(Instant now, ServiceState &service, Question question)
 {
     const Duration wait = expectedWait(now, service, question.priority);
-    const bool reachable = now + wait <= latestStart(question);
-    if (service.openServers == 0 || !reachable) {
+    // Servers of a new leader announce themselves again.
+    const bool settling = now - startedAt_ < SettlingTime;
+    const bool reachable = now + wait <= latestStart(question) || (settling && service.usableSlots == 0);
+    const bool hopeless = service.openServers == 0 && !settling;
+    if (hopeless || !reachable) {
         const ResultCode code =
             service.openServers == 0 ? ResultCode::NoBackendServer : ResultCode::QueueFull;
         refuse(now, question, code, wait,
@@ -580,7 +588,7 @@
             continue;
         }
         ++open;
-        const bool sound = server->health.failing(now) < SuspectedFrom;
+        const bool sound = server->health.failing(now) < TrustedBelow;
         trusted += sound ? 1 : 0;
         slots += sound ? server->info.slots : 0;
     }
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -174,7 +174,7 @@
 class Scheduler
 {
 public:
-    Scheduler(std::uint64_t epoch, Limits limits, std::uint64_t seed);
+    Scheduler(std::uint64_t epoch, Limits limits, std::uint64_t seed, Instant now);
     Scheduler(const Scheduler &) = delete;
     Scheduler &operator=(const Scheduler &) = delete;
     ~Scheduler();
@@ -254,6 +254,7 @@
     std::uint64_t epoch_;
     Limits limits_;
     std::mt19937_64 random_;
+    Instant startedAt_;
     std::shared_ptr<const routing::RoutingTable> table_;
     std::set<std::string> zonesOut_;
     std::map<std::string, std::unique_ptr<internal::ServiceState>> services_;
--- a/src/scheduler/serverhealth.cpp
+++ b/src/scheduler/serverhealth.cpp
@@ -14,7 +14,7 @@
 
 // How much more probable a result is of a failing server than of a sound one.
 constexpr double ErrorRatio = 37;
-constexpr double SuccessRatio = 0.25;
+constexpr double SuccessRatio = 0.35;
 constexpr double BrokenAnswerRatio = 15;
 constexpr double RefusedRatio = 60;
 constexpr double PathFailureRatio = 8;
