A call that times out on a silent connection closes it

Cause: after a cut of 14 s an entry VM followed the leader again only when the kernel sent once more, 11 s late: every call timed out before the limit of silence, and a new call started the count anew.

--- a/src/peer/client.cpp
+++ b/src/peer/client.cpp
@@ -57,6 +57,7 @@
         }
         Call &call = calls_[stream];
         call.callback = std::move(callback);
+        call.sentAt = timers_.now();
         call.timeout = timers_.after(timeout, [this, stream] { expire(stream); });
     }
 
@@ -72,6 +73,7 @@
     struct Call
     {
         ClientPool::Callback callback;
+        Instant sentAt;
         Subscription timeout;
     };
 
@@ -128,7 +130,12 @@
         if (node.empty()) {
             return;
         }
-        if (session_) {
+        // Not even the probes of watch() were answered since: the next call needs a new connection.
+        const bool dead = session_ && session_->lastReceived() < node.mapped().sentAt;
+        if (dead) {
+            logEvent(Event::ConnectionSilent, { { "address", address_.text() } });
+            close("silent");
+        } else if (session_) {
             session_->cancel(stream);
         }
         node.mapped().callback(Failure { ResultCode::PeerTimeout, address_.text() });
