--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -65,9 +65,8 @@
          ControlOptions options, std::unique_ptr<replication::DiskLog> disk,
          std::function<void(const Failure &)> stopped)
         : timers_(timers), server_(server), clients_(clients), options_(std::move(options)),
-          stopped_(std::move(stopped)),
-          runner_(timers, server, clients, std::move(disk), options_.self, LogTimings,
-                  replicaCallbacks()),
+          stopped_(std::move(stopped)), runner_(timers, server, clients, std::move(disk),
+                                                options_.self, LogTimings, replicaCallbacks()),
           group_(options_.groupSize),
           follower_(timers, clients,
                     { options_.vm, incarnation_, options_.seeds, options_.self, options_.reader },
@@ -339,8 +338,7 @@
     {
         const Instant now = timers_.now();
         const std::uint64_t epoch = runner_.replica().term();
-        scheduler_ =
-            std::make_unique<scheduler::Scheduler>(epoch, options_.limits,
+        scheduler_ = std::make_unique<scheduler::Scheduler>(epoch, options_.limits,
                                                             std::random_device {}(), now);
         viewLog_ = ViewLog();
         takeTable(0);
--- a/src/coordination/internal/durablestate.h
+++ b/src/coordination/internal/durablestate.h
@@ -1,6 +1,6 @@
-// What the replicated log makes: the newest configuration document, the zones that are out, the servers
-// that leave, and those that were known, so that a fleet that lost power serves before all servers have
-// announced themselves again. Applying a command is deterministic.
+// What the replicated log makes: the newest configuration document, the zones that are out, the
+// servers that leave, and those that were known, so that a fleet that lost power serves before all
+// servers have announced themselves again. Applying a command is deterministic.
 #pragma once
 
 #include "directory/directory.h"
--- /dev/null
+++ b/src/http/http_test.cpp
@@ -0,0 +1,174 @@
+#include "http/http.h"
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <sys/socket.h>
+
+namespace daisyhaven::http {
+namespace {
+
+struct EventBaseDeleter
+{
+    void operator()(event_base *base) const { event_base_free(base); }
+};
+
+peer::Address address()
+{
+    return { "127.0.0.1", static_cast<std::uint16_t>(38000 + ::getpid() % 2000) };
+}
+
+enum class Ending { Keep, Close, Reset };
+
+struct AnswerCase
+{
+    const char *name;
+    const char *bytes;
+    Ending ending;
+    // What the client must make of it.
+    const char *body; // nullptr: no whole answer
+    bool reusable;
+};
+
+// A server that sends the bytes of a case as soon as a request arrives.
+class ScriptedServer
+{
+public:
+    ScriptedServer(event_base *base, const AnswerCase &answer) : base_(base), answer_(answer)
+    {
+        auto opened = attempt([&] {
+            return Listener::open(base, address(), [this](int socket) { accept(socket); });
+        });
+        listener_ = std::move(std::get<std::unique_ptr<Listener>>(opened));
+    }
+    ScriptedServer(const ScriptedServer &) = delete;
+    ScriptedServer &operator=(const ScriptedServer &) = delete;
+    ~ScriptedServer()
+    {
+        if (connection_ != nullptr) {
+            bufferevent_free(connection_);
+        }
+    }
+
+private:
+    void accept(int socket)
+    {
+        connection_ = bufferevent_socket_new(base_, socket, BEV_OPT_CLOSE_ON_FREE);
+        bufferevent_setcb(
+            connection_, [](bufferevent *, void *user) { self(user).requested(); },
+            [](bufferevent *, void *user) { self(user).written(); }, nullptr, this);
+        bufferevent_enable(connection_, EV_READ | EV_WRITE);
+    }
+
+    static ScriptedServer &self(void *user) { return *static_cast<ScriptedServer *>(user); }
+
+    void requested()
+    {
+        evbuffer *input = bufferevent_get_input(connection_);
+        evbuffer_drain(input, evbuffer_get_length(input));
+        bufferevent_write(connection_, answer_.bytes, std::string_view(answer_.bytes).size());
+        answered_ = true;
+    }
+
+    void written()
+    {
+        if (!answered_) {
+            return;
+        }
+        if (answer_.ending == Ending::Close) {
+            shutdown(bufferevent_getfd(connection_), SHUT_WR);
+        } else if (answer_.ending == Ending::Reset) {
+            const linger reset { 1, 0 };
+            setsockopt(bufferevent_getfd(connection_), SOL_SOCKET, SO_LINGER, &reset,
+                       sizeof(reset));
+            bufferevent_free(connection_);
+            connection_ = nullptr;
+        }
+    }
+
+    event_base *base_;
+    const AnswerCase &answer_;
+    std::unique_ptr<Listener> listener_;
+    bufferevent *connection_ = nullptr;
+    bool answered_ = false;
+};
+
+class Answers : public ::testing::TestWithParam<AnswerCase>
+{
+};
+
+TEST_P(Answers, AreWholeOrNot)
+{
+    const AnswerCase &answer = GetParam();
+    const std::unique_ptr<event_base, EventBaseDeleter> base(event_base_new());
+    TimerService timers(base.get());
+    const ScriptedServer server(base.get(), answer);
+    std::string body;
+    std::optional<std::string> whole;
+    bool reusable = false;
+    bool settled = false;
+    const auto settle = [&] {
+        settled = true;
+        event_base_loopbreak(base.get());
+    };
+    auto client = std::make_unique<ClientConnection>(base.get(), address());
+    ClientConnection::Callbacks callbacks;
+    callbacks.belongs = [](const ResponseHead &head) {
+        const std::string *id = head.headers.find("X-Id");
+        return id != nullptr && *id == "mine";
+    };
+    callbacks.head = [](const ResponseHead &) {};
+    callbacks.body = [&](std::string_view data) { body.append(data); };
+    callbacks.end = [&](bool mayReuse) {
+        whole = body;
+        reusable = mayReuse;
+        settle();
+    };
+    callbacks.invalid = [&](const Failure &) { settle(); };
+    callbacks.closed = settle;
+    client->setCallbacks(callbacks);
+    client->sendHead("GET", "/", {}, Framing::None, 0);
+    client->endRequest();
+    const Subscription limit = timers.after(Seconds(2), settle);
+    event_base_dispatch(base.get());
+    EXPECT_TRUE(settled);
+    EXPECT_EQ(whole.has_value(), answer.body != nullptr);
+    if (whole && answer.body != nullptr) {
+        EXPECT_EQ(*whole, answer.body);
+        EXPECT_EQ(reusable, answer.reusable);
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Servers, Answers,
+    ::testing::Values(
+        AnswerCase { "sized", "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 3\r\n\r\nabc",
+                     Ending::Keep, "abc", true },
+        AnswerCase { "chunked",
+                     "HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "3\r\nabc\r\n0\r\n\r\n",
+                     Ending::Keep, "abc", true },
+        AnswerCase { "endsWithItsConnection", "HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\nabc",
+                     Ending::Close, "abc", false },
+        AnswerCase { "withoutLengthAndReset", "HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\nabc",
+                     Ending::Reset, nullptr, false },
+        AnswerCase { "truncated", "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 9\r\n\r\nabc",
+                     Ending::Close, nullptr, false },
+        AnswerCase { "ofAnotherRequestFirst",
+                     "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 3\r\n\r\nxyz"
+                     "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 3\r\n\r\nabc",
+                     Ending::Keep, "abc", true },
+        AnswerCase { "ofAnotherRequestWithoutLength", "HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\nxyz",
+                     Ending::Close, nullptr, false },
+        AnswerCase {
+            "withMoreBytesBehind",
+            "HTTP/1.1 200 OK\r\nX-Id: mine\r\nContent-Length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\n",
+            Ending::Keep, "abc", false },
+        AnswerCase { "noAnswerAtAll", "hello\r\n\r\n", Ending::Keep, nullptr, false }),
+    [](const auto &info) { return info.param.name; });
+
+} // namespace
+} // namespace daisyhaven::http
--- a/src/peer/client.cpp
+++ b/src/peer/client.cpp
@@ -164,8 +164,8 @@
     // Closes the connection if something is due and nothing was received for too long.
     void watch()
     {
-        const bool stuck = session_ && !session_->established()
-            && timers_.now() - openedAt_ > ConnectLimit;
+        const bool stuck =
+            session_ && !session_->established() && timers_.now() - openedAt_ > ConnectLimit;
         if (stuck) {
             close("no connection in time");
             return;
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -382,7 +382,8 @@
     const Duration wait = expectedWait(now, service, question.priority);
     // Servers of a new leader announce themselves again.
     const bool settling = now - startedAt_ < SettlingTime;
-    const bool reachable = now + wait <= latestStart(question) || (settling && service.usableSlots == 0);
+    const bool reachable =
+        now + wait <= latestStart(question) || (settling && service.usableSlots == 0);
     const bool hopeless = service.openServers == 0 && !settling;
     if (hopeless || !reachable) {
         const ResultCode code =
--- /dev/null
+++ b/src/scheduler/scheduler_test.cpp
@@ -0,0 +1,640 @@
+#include "scheduler/scheduler.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <deque>
+
+namespace daisyhaven::scheduler {
+namespace {
+
+const Instant Start { Seconds(1000) };
+constexpr double ColdPerSecond = 9;
+
+// A fleet in virtual time: servers that behave as told, and callers that ask for slots.
+class Fleet
+{
+public:
+    explicit Fleet(Limits limits = {}, std::uint64_t seed = 1)
+        : scheduler(1, limits, seed, Start - Seconds(10))
+    {
+    }
+
+    void setTeams(const std::vector<routing::Team> &teams, double firstTokens = 1)
+    {
+        routing::TableParts parts;
+        parts.services = { { "orders", "/", 100, Seconds(3), ColdPerSecond } };
+        parts.teams = teams;
+        auto made = attempt([&] { return routing::RoutingTable::make(std::move(parts)); });
+        scheduler.setTable(now,
+                           std::make_shared<const routing::RoutingTable>(
+                               std::get<routing::RoutingTable>(std::move(made))),
+                           firstTokens);
+    }
+
+    void addServers(int count, std::uint32_t slots, const std::string &zone = "a",
+                    Duration cold = Duration(0))
+    {
+        for (int i = 0; i < count; ++i) {
+            ServerInfo info;
+            info.id = zone + std::to_string(i);
+            info.service = "orders";
+            info.address = "10.0.0.1:" + std::to_string(1000 + i);
+            info.zone = zone;
+            info.slots = slots;
+            info.coldUntil = now + cold;
+            info.born = 1;
+            scheduler.setServer(now, info);
+        }
+    }
+
+    Question question()
+    {
+        Question question;
+        question.key = { "vm", 1, ++lastNumber };
+        question.service = "orders";
+        question.route = "status";
+        question.zone = "a";
+        question.deadline = now + Seconds(2);
+        question.target = now + Milliseconds(600);
+        question.fingerprint = lastNumber;
+        return question;
+    }
+
+    struct Answers
+    {
+        std::vector<Grant> grants;
+        std::vector<Refusal> refusals;
+    };
+
+    Answers take()
+    {
+        Answers answers;
+        for (const Action &action : scheduler.takeActions()) {
+            if (const auto *grant = std::get_if<Grant>(&action)) {
+                answers.grants.push_back(*grant);
+            } else if (const auto *refusal = std::get_if<Refusal>(&action)) {
+                answers.refusals.push_back(*refusal);
+            }
+        }
+        return answers;
+    }
+
+    Answers ask(const Question &question)
+    {
+        scheduler.ask(now, question);
+        return take();
+    }
+
+    void advance(Duration duration)
+    {
+        now += duration;
+        scheduler.tick(now);
+    }
+
+    Instant now = Start;
+    std::uint64_t lastNumber = 0;
+    Scheduler scheduler;
+};
+
+TEST(Slots, AreNeverExceeded)
+{
+    Fleet fleet;
+    fleet.addServers(3, 2);
+    int granted = 0;
+    for (int i = 0; i < 20; ++i) {
+        granted += static_cast<int>(fleet.ask(fleet.question()).grants.size());
+    }
+    EXPECT_EQ(granted, 6);
+    for (const char *id : { "a0", "a1", "a2" }) {
+        EXPECT_EQ(fleet.scheduler.inFlight(id), 2U) << id;
+    }
+}
+
+TEST(Slots, HeldWithoutThisLeaderCountToo)
+{
+    Fleet fleet;
+    fleet.addServers(1, 2);
+    fleet.scheduler.setHeldElsewhere(fleet.now, "vm-2", { { "a0", 2 } });
+    EXPECT_TRUE(fleet.ask(fleet.question()).grants.empty());
+    fleet.scheduler.setHeldElsewhere(fleet.now, "vm-2", { { "a0", 1 } });
+    EXPECT_EQ(fleet.take().grants.size(), 1U);
+}
+
+TEST(Slots, OfAVmThatSaysNothingAreFreeAfterTheDeadline)
+{
+    Fleet fleet;
+    fleet.addServers(1, 1);
+    ASSERT_EQ(fleet.ask(fleet.question()).grants.size(), 1U);
+    fleet.advance(Milliseconds(2600));
+    EXPECT_EQ(fleet.ask(fleet.question()).grants.size(), 1U);
+}
+
+TEST(Withdrawn, QuestionsAndGrantsLeaveNothingBehind)
+{
+    Fleet fleet;
+    fleet.addServers(1, 1);
+    const Question first = fleet.question();
+    const Question second = fleet.question();
+    ASSERT_EQ(fleet.ask(first).grants.size(), 1U);
+    ASSERT_TRUE(fleet.ask(second).grants.empty());
+    fleet.scheduler.withdraw(fleet.now, second.key);
+    EXPECT_EQ(fleet.scheduler.waiting(), 0U);
+    fleet.scheduler.withdraw(fleet.now, first.key);
+    EXPECT_EQ(fleet.scheduler.inFlight("a0"), 0U);
+}
+
+// Burst: more requests than slots. The urgent go first; who cannot be served in time is told at
+// once.
+TEST(Burst, TheUrgentGoFirst)
+{
+    Fleet fleet;
+    fleet.addServers(1, 1);
+    const auto running = fleet.ask(fleet.question()).grants;
+    Question usual = fleet.question();
+    usual.priority = 2;
+    Question urgent = fleet.question();
+    urgent.priority = 0;
+    fleet.ask(usual);
+    fleet.ask(urgent);
+    fleet.scheduler.release(fleet.now, running.at(0).slot, Outcome::Success, Milliseconds(100));
+    const auto next = fleet.take().grants;
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(next.at(0).key, urgent.key);
+}
+
+TEST(Burst, WhoCannotBeServedInTimeIsRefusedAtOnceWithTheTimeToComeBack)
+{
+    Fleet fleet;
+    fleet.addServers(2, 2);
+    fleet.advance(Milliseconds(20));
+    std::size_t refused = 0;
+    Duration shortest = Seconds(60);
+    for (int i = 0; i < 200; ++i) {
+        for (const Refusal &refusal : fleet.ask(fleet.question()).refusals) {
+            ++refused;
+            EXPECT_EQ(refusal.code, ResultCode::QueueFull);
+            shortest = std::min(shortest, refusal.retryAfter);
+        }
+    }
+    // Four slots of 150 ms each serve some 50 requests before a deadline of two seconds.
+    EXPECT_GT(refused, 130U);
+    EXPECT_GT(shortest, Milliseconds(1000));
+}
+
+TEST(Waiting, EndsInARefusalWhileTheAnswerCanStillArrive)
+{
+    Fleet fleet;
+    fleet.addServers(1, 1);
+    fleet.ask(fleet.question());
+    const Question waiting = fleet.question();
+    fleet.ask(waiting);
+    std::vector<Refusal> refusals;
+    while (refusals.empty() && fleet.now < waiting.deadline) {
+        fleet.advance(Milliseconds(20));
+        refusals = fleet.take().refusals;
+    }
+    ASSERT_EQ(refusals.size(), 1U);
+    EXPECT_EQ(refusals.at(0).code, ResultCode::DeadlineUnreachable);
+}
+
+TEST(Rates, HoldOverAnyWindow)
+{
+    Fleet fleet;
+    fleet.addServers(50, 50);
+    fleet.setTeams({ { "shops", { "k" }, std::nullopt, 20, 10 } });
+    std::deque<Instant> admitted;
+    std::size_t most = 0;
+    for (int i = 0; i < 4000; ++i) {
+        fleet.advance(Milliseconds(5));
+        Question question = fleet.question();
+        question.team = "shops";
+        for (const Grant &grant : fleet.ask(question).grants) {
+            admitted.push_back(fleet.now);
+            fleet.scheduler.release(fleet.now, grant.slot, Outcome::Success, Milliseconds(50));
+        }
+        while (!admitted.empty() && fleet.now - admitted.front() >= Seconds(5)) {
+            admitted.pop_front();
+        }
+        most = std::max(most, admitted.size());
+    }
+    EXPECT_LE(most, 5U * 20 + 10 + 1);
+    EXPECT_GE(most, 5U * 20 - 1);
+}
+
+TEST(Rates, OfANewLeaderStartEmpty)
+{
+    Fleet fleet;
+    fleet.addServers(5, 5);
+    fleet.setTeams({ { "shops", { "k" }, std::nullopt, 20, 10 } }, 0);
+    Question question = fleet.question();
+    question.team = "shops";
+    const auto refusals = fleet.ask(question).refusals;
+    ASSERT_EQ(refusals.size(), 1U);
+    EXPECT_EQ(refusals.at(0).code, ResultCode::RateExceeded);
+    fleet.advance(Milliseconds(60));
+    question = fleet.question();
+    question.team = "shops";
+    EXPECT_EQ(fleet.ask(question).grants.size(), 1U);
+}
+
+TEST(Rates, ATokenOfARequestThatWasNotServedComesBack)
+{
+    Fleet fleet;
+    fleet.setTeams({ { "shops", { "k" }, std::nullopt, 1, 1 } });
+    Question question = fleet.question();
+    question.team = "shops";
+    ASSERT_EQ(fleet.ask(question).refusals.at(0).code, ResultCode::NoBackendServer);
+    fleet.addServers(1, 1);
+    question = fleet.question();
+    question.team = "shops";
+    EXPECT_EQ(fleet.ask(question).grants.size(), 1U);
+}
+
+TEST(ColdServers, GetNoMoreThanTheyBear)
+{
+    Fleet fleet;
+    fleet.setTeams({});
+    fleet.addServers(1, 50, "a", Seconds(3));
+    int granted = 0;
+    for (int i = 0; i < 300; ++i) {
+        fleet.advance(Milliseconds(10));
+        const Question question = fleet.question();
+        for (const Grant &grant : fleet.ask(question).grants) {
+            ++granted;
+            fleet.scheduler.release(fleet.now, grant.slot, Outcome::Success, Milliseconds(5));
+        }
+        fleet.scheduler.withdraw(fleet.now, question.key);
+    }
+    EXPECT_LE(granted, 3 * ColdPerSecond + 3);
+    EXPECT_GE(granted, 3 * ColdPerSecond - 3);
+}
+
+TEST(Zones, ThatComeBackCountAsCold)
+{
+    Fleet fleet;
+    fleet.setTeams({});
+    fleet.addServers(1, 50);
+    fleet.scheduler.setZonesOut(fleet.now, { "a" });
+    EXPECT_TRUE(fleet.ask(fleet.question()).grants.empty());
+    fleet.scheduler.setZonesOut(fleet.now, {});
+    int granted = 0;
+    for (int i = 0; i < 30; ++i) {
+        granted += static_cast<int>(fleet.ask(fleet.question()).grants.size());
+    }
+    EXPECT_LE(granted, 3);
+}
+
+TEST(Leaving, ServersGetNothing)
+{
+    Fleet fleet;
+    fleet.addServers(1, 4);
+    ServerInfo info { "a0", "orders", "10.0.0.1:1000", "a", 4, true, Instant(), 1 };
+    fleet.scheduler.setServer(fleet.now, info);
+    EXPECT_TRUE(fleet.ask(fleet.question()).grants.empty());
+}
+
+TEST(Repeats, StayWithinTheBudgetOfTheService)
+{
+    Limits limits;
+    limits.retryRatio = 0.2;
+    limits.retrySlack = 5;
+    Fleet fleet(limits);
+    fleet.addServers(20, 50);
+    int firsts = 0;
+    int repeats = 0;
+    for (int i = 0; i < 200; ++i) {
+        fleet.advance(Milliseconds(5));
+        const auto first = fleet.ask(fleet.question()).grants;
+        firsts += static_cast<int>(first.size());
+        Question again = fleet.question();
+        again.retry = true;
+        again.hasToken = true;
+        const auto repeat = fleet.ask(again).grants;
+        repeats += static_cast<int>(repeat.size());
+        for (const auto &grants : { first, repeat }) {
+            for (const Grant &grant : grants) {
+                fleet.scheduler.release(fleet.now, grant.slot, Outcome::Success, Milliseconds(5));
+            }
+        }
+    }
+    EXPECT_EQ(firsts, 200);
+    EXPECT_LE(repeats, firsts * 0.2 + 5);
+    EXPECT_GE(repeats, firsts * 0.2 + 3);
+}
+
+TEST(CrashingRequests, AreRefusedAfterTwoServers)
+{
+    Fleet fleet;
+    fleet.addServers(5, 4);
+    for (int i = 0; i < 2; ++i) {
+        Question question = fleet.question();
+        question.fingerprint = 77;
+        const auto grants = fleet.ask(question).grants;
+        ASSERT_EQ(grants.size(), 1U);
+        fleet.scheduler.release(fleet.now, grants.at(0).slot, Outcome::ConnectionLost,
+                                Milliseconds(5));
+        fleet.take();
+    }
+    Question question = fleet.question();
+    question.fingerprint = 77;
+    EXPECT_EQ(fleet.ask(question).refusals.at(0).code, ResultCode::Quarantined);
+    EXPECT_EQ(fleet.ask(fleet.question()).grants.size(), 1U);
+}
+
+// ---- gray servers ----
+
+struct GrayCase
+{
+    const char *name;
+    Outcome outcome;
+    double failingShare;
+    // Most requests that cannot be sent again and that the server may spoil before it is out.
+    double mostSpoilt;
+};
+
+class GrayServer : public ::testing::TestWithParam<GrayCase>
+{
+};
+
+// One server of twelve starts to fail, fast, while 60 requests a second come, one in three
+// repeatable: few of those that cannot be sent again may reach it.
+TEST_P(GrayServer, GetsFewRequestsThatCannotBeSentAgain)
+{
+    const GrayCase &gray = GetParam();
+    int spoilt = 0;
+    constexpr int Runs = 20;
+    for (int run = 0; run < Runs; ++run) {
+        Fleet fleet({}, static_cast<std::uint64_t>(run) + 1);
+        fleet.addServers(12, 4);
+        std::mt19937 random(static_cast<unsigned>(run));
+        std::uniform_real_distribution<double> chance(0, 1);
+        struct Running
+        {
+            Grant grant;
+            Instant endsAt;
+            bool repeatable;
+        };
+        std::vector<Running> running;
+        for (int step = 0; step < 1200; ++step) {
+            fleet.advance(Milliseconds(5));
+            const bool failing = step > 200 && step < 1000;
+            for (std::size_t i = 0; i < running.size();) {
+                if (running[i].endsAt > fleet.now) {
+                    ++i;
+                    continue;
+                }
+                const bool fails = failing && running[i].grant.server == "a3"
+                    && chance(random) < gray.failingShare;
+                spoilt += fails && !running[i].repeatable ? 1 : 0;
+                fleet.scheduler.release(fleet.now, running[i].grant.slot,
+                                        fails ? gray.outcome : Outcome::Success,
+                                        Milliseconds(fails ? 5 : 150));
+                running.erase(running.begin() + static_cast<std::ptrdiff_t>(i));
+            }
+            if (chance(random) < 0.3) {
+                Question question = fleet.question();
+                question.key.vm = "vm-" + std::to_string(step % 40);
+                question.repeatable = chance(random) < 0.33;
+                fleet.scheduler.ask(fleet.now, question);
+            }
+            for (const Grant &grant : fleet.take().grants) {
+                const bool fast = failing && grant.server == "a3";
+                running.push_back(
+                    { grant, fleet.now + Milliseconds(fast ? 5 : 150), grant.key.number % 3 == 0 });
+            }
+        }
+    }
+    EXPECT_LE(spoilt / double(Runs), gray.mostSpoilt) << gray.name;
+}
+
+INSTANTIATE_TEST_SUITE_P(Failures, GrayServer,
+                         ::testing::Values(GrayCase { "errors", Outcome::ServerError, 0.9, 5 },
+                                           GrayCase { "someErrors", Outcome::ServerError, 0.5, 8 },
+                                           GrayCase { "broken", Outcome::BrokenAnswer, 0.9, 5 },
+                                           GrayCase { "resets", Outcome::ConnectionLost, 0.9, 6 },
+                                           GrayCase { "refuses", Outcome::ConnectRefused, 1.0, 5 }),
+                         [](const auto &info) { return info.param.name; });
+
+// Errors that every server makes now and then put few servers out.
+TEST(SoundServers, KeepTheirWorkInSpiteOfRareErrors)
+{
+    Fleet fleet;
+    fleet.addServers(12, 4);
+    std::mt19937 random(7);
+    std::uniform_real_distribution<double> chance(0, 1);
+    double suspectedSeconds = 0;
+    constexpr double Step = 0.01;
+    for (int step = 0; step < 6000; ++step) {
+        fleet.advance(Milliseconds(10));
+        Question question = fleet.question();
+        question.repeatable = step % 3 == 0;
+        for (const Grant &grant : fleet.ask(question).grants) {
+            const bool error = chance(random) < 0.012;
+            fleet.scheduler.release(fleet.now, grant.slot,
+                                    error ? Outcome::ServerError : Outcome::Success,
+                                    Milliseconds(100));
+        }
+        for (int server = 0; server < 12; ++server) {
+            suspectedSeconds +=
+                fleet.scheduler.isSuspected("a" + std::to_string(server)) ? Step : 0;
+        }
+    }
+    EXPECT_LE(suspectedSeconds / (60.0 * 12), 0.05);
+}
+
+// A server that hangs holds its slots: it must be out before the next requests join them.
+TEST(HangingServer, IsOutOnceItsRequestsAreOverdue)
+{
+    Fleet fleet;
+    fleet.addServers(3, 4);
+    ASSERT_EQ(fleet.ask(fleet.question()).grants.size(), 1U);
+    fleet.advance(Milliseconds(700));
+    fleet.advance(Milliseconds(700));
+    int suspected = 0;
+    for (const char *id : { "a0", "a1", "a2" }) {
+        suspected += fleet.scheduler.isSuspected(id) ? 1 : 0;
+    }
+    EXPECT_EQ(suspected, 1);
+}
+
+// ---- choice ----
+
+TEST(Choice, PrefersTheOwnZoneAndOpenConnections)
+{
+    Fleet fleet;
+    fleet.addServers(3, 4, "a");
+    fleet.addServers(3, 4, "b");
+    Question question = fleet.question();
+    question.zone = "b";
+    question.connected = { "b2" };
+    EXPECT_EQ(fleet.ask(question).grants.at(0).server, "b2");
+}
+
+TEST(Choice, LeavesOutWhatTheQuestionAvoids)
+{
+    Fleet fleet;
+    fleet.addServers(2, 4);
+    Question question = fleet.question();
+    question.avoid = { "a0" };
+    EXPECT_EQ(fleet.ask(question).grants.at(0).server, "a1");
+}
+
+// ---- against an oracle ----
+
+// Random questions, results, withdrawals and servers that come and go: no server ever runs more
+// than its slots, and every question gets at most one answer.
+TEST(Oracle, SlotsAndAnswersAreExact)
+{
+    EXPECT_TRUE(rc::check([] {
+        Fleet fleet({}, 5);
+        fleet.addServers(4, 2);
+        std::map<std::uint64_t, Grant> running;
+        std::map<std::string, int> inUse;
+        std::set<std::uint64_t> answered;
+        std::vector<Question> asked;
+        const auto settle = [&] {
+            const auto answers = fleet.take();
+            for (const Grant &grant : answers.grants) {
+                RC_ASSERT(answered.insert(grant.key.number).second);
+                running[grant.slot] = grant;
+                ++inUse[grant.server];
+                RC_ASSERT(inUse[grant.server] <= 2);
+            }
+            for (const Refusal &refusal : answers.refusals) {
+                RC_ASSERT(answered.insert(refusal.key.number).second);
+            }
+        };
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 100));
+        for (const int step : steps) {
+            if (step < 50) {
+                Question question = fleet.question();
+                question.repeatable = step % 2 == 0;
+                question.priority = static_cast<std::uint32_t>(step % 3);
+                asked.push_back(question);
+                fleet.scheduler.ask(fleet.now, question);
+            } else if (step < 80 && !running.empty()) {
+                auto slot = running.begin();
+                std::advance(slot, step % static_cast<int>(running.size()));
+                --inUse[slot->second.server];
+                const auto number = slot->first;
+                running.erase(slot);
+                fleet.scheduler.release(fleet.now, number, static_cast<Outcome>(step % 11),
+                                        Milliseconds(100));
+            } else if (step < 90 && !asked.empty()) {
+                const Question &question = asked[static_cast<std::size_t>(step) % asked.size()];
+                for (auto slot = running.begin(); slot != running.end();) {
+                    const bool own = slot->second.key == question.key;
+                    inUse[slot->second.server] -= own ? 1 : 0;
+                    slot = own ? running.erase(slot) : std::next(slot);
+                }
+                fleet.scheduler.withdraw(fleet.now, question.key);
+            } else {
+                fleet.advance(Milliseconds(step));
+            }
+            settle();
+        }
+    }));
+}
+
+// ---- without a leader ----
+
+std::map<std::string, KnownServer> knownServers()
+{
+    std::map<std::string, KnownServer> servers;
+    for (int i = 0; i < 4; ++i) {
+        KnownServer server;
+        server.info = { "s" + std::to_string(i),
+                        "orders",
+                        "10.0.0.1:1",
+                        i < 2 ? "a" : "b",
+                        2,
+                        false,
+                        Instant(),
+                        1 };
+        servers[server.info.id] = server;
+    }
+    return servers;
+}
+
+TEST(WithoutLeader, ColdLeavingAndExcludedServersGetNothing)
+{
+    auto servers = knownServers();
+    servers["s0"].info.coldUntil = Start + Seconds(1);
+    servers["s1"].info.draining = true;
+    LocalChooser chooser(1);
+    Question question;
+    question.service = "orders";
+    question.zone = "a";
+    question.avoid = { "s2" };
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(chooser.choose(Start, question, servers, {}, {})->info.id, "s3");
+    }
+    EXPECT_EQ(chooser.choose(Start, question, servers, { "b" }, {}), nullptr);
+}
+
+struct ShareCase
+{
+    const char *name;
+    int vms;
+    double rate;
+    double burst;
+    // Requests a second that the whole team sends, as a multiple of its rate.
+    double demand;
+};
+
+class TeamShares : public ::testing::TestWithParam<ShareCase>
+{
+};
+
+// Every VM is without a leader at once, and the team sends far more than before: all together keep
+// to what the bounds of the platform leave (a tenth above, and 20 requests).
+TEST_P(TeamShares, HoldOverAllVmsTogether)
+{
+    const ShareCase &share = GetParam();
+    constexpr double RateSlack = 10;
+    const routing::Team team { "shops", { "k" }, std::nullopt, share.rate, share.burst };
+    std::mt19937 random(3);
+    std::uniform_real_distribution<double> chance(0, 1);
+    std::vector<std::unique_ptr<LocalChooser>> vms;
+    for (int vm = 0; vm < share.vms; ++vm) {
+        vms.push_back(std::make_unique<LocalChooser>(static_cast<std::uint64_t>(vm) + 1));
+        vms.back()->setSharing(static_cast<std::size_t>(share.vms), RateSlack);
+    }
+    Instant now = Start;
+    constexpr double Usual = 0.6;
+    for (int step = 0; step < 1000; ++step) {
+        now += Milliseconds(10);
+        for (auto &vm : vms) {
+            if (chance(random) < Usual * share.rate / share.vms * 0.01) {
+                vm->noteAdmitted(now, "shops");
+            }
+        }
+    }
+    std::deque<Instant> admitted;
+    std::size_t most = 0;
+    for (int step = 0; step < 1000; ++step) {
+        now += Milliseconds(10);
+        for (auto &vm : vms) {
+            if (chance(random) < share.demand * share.rate / share.vms * 0.01
+                && vm->admit(now, team)) {
+                admitted.push_back(now);
+            }
+        }
+        while (!admitted.empty() && now - admitted.front() >= Seconds(5)) {
+            admitted.pop_front();
+        }
+        most = std::max(most, admitted.size());
+    }
+    EXPECT_LE(static_cast<double>(most), (share.rate * 5 + share.burst) * 1.1 + 20) << share.name;
+}
+
+INSTANTIATE_TEST_SUITE_P(Teams, TeamShares,
+                         ::testing::Values(ShareCase { "large", 44, 60, 60, 6 },
+                                           ShareCase { "small", 44, 6, 6, 8 },
+                                           ShareCase { "fewVms", 4, 30, 30, 6 },
+                                           ShareCase { "usualDemand", 44, 60, 60, 0.6 }),
+                         [](const auto &info) { return info.param.name; });
+
+} // namespace
+} // namespace daisyhaven::scheduler
--- /dev/null
+++ b/tests/platform/platform_test.cpp
@@ -0,0 +1,176 @@
+// What the platform sends, decoded into the product's types.
+#include "platform/internal/documents.h"
+#include "platform/internal/nodesettings.h"
+
+#include <gtest/gtest.h>
+
+namespace daisyhaven::platform {
+namespace {
+
+const char *const Document = R"({"version":"0000000c","routes":{"columns":
+["name","host","pathPrefix","kind","timeoutMs","targetLatencyMs","priority","trafficSplit",
+"maxAttempts","allowAnonymous","service"],"rows":[
+["r1","shop.example","/status/","idempotent",1500,600,2,[{"service":"s1","weight":90},
+{"service":"s2","weight":10}],2,false,null],
+["r2","shop.example","/orders/","non_idempotent",1500,600,1,null,2,true,"s1"],
+["r3","shop.example","/photos/","upload",null,600,1,null,2,false,"s2"]]},
+"services":{"columns":["name","healthCheckPath","maxConnections","protocol","tls","coldStartS",
+"coldPerS"],"rows":[["s1","/health",390,"h1",false,3.0,9.2],["s2","/health",390,"h1",false,3.0,9.2]]},
+"limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+"tenants":{"columns":["name","apiKeys","priority","ratePerS","burst"],
+"rows":[["t1",["key-1","key-2"],1,58,59]]}})";
+
+routing::RoutingTable table()
+{
+    return std::get<routing::RoutingTable>(attempt([] { return readConfiguration(Document); }));
+}
+
+TEST(Configuration, IsDecodedIntoARoutingTable)
+{
+    const routing::RoutingTable decoded = table();
+    const routing::Route *status = decoded.findRoute("shop.example", "/status/7");
+    ASSERT_NE(status, nullptr);
+    EXPECT_EQ(status->kind, routing::RouteKind::Idempotent);
+    EXPECT_EQ(status->services.size(), 2U);
+    EXPECT_EQ(status->timeout, Milliseconds(1500));
+    EXPECT_EQ(status->maxAttempts, 2U);
+    const routing::Route *order = decoded.findRoute("shop.example", "/orders/7");
+    EXPECT_EQ(order->kind, routing::RouteKind::NonIdempotent);
+    EXPECT_TRUE(order->open);
+    const routing::Route *photo = decoded.findRoute("shop.example", "/photos/7");
+    EXPECT_EQ(photo->kind, routing::RouteKind::Upload);
+    EXPECT_FALSE(photo->timeout.has_value());
+    EXPECT_EQ(decoded.findService("s1")->coldRequestsPerSecond, 9.2);
+    EXPECT_EQ(decoded.findTeamByKey("key-2")->requestsPerSecond, 58);
+    EXPECT_EQ(decoded.limits().maxBodyBytes, 1000U);
+    EXPECT_EQ(std::get<std::uint64_t>(attempt([] { return versionOf(Document); })), 12U);
+}
+
+struct Replacement
+{
+    const char *name;
+    const char *from;
+    const char *to;
+};
+
+std::string replaced(const Replacement &replacement, std::string text)
+{
+    const std::size_t at = text.find(replacement.from);
+    return text.replace(at, std::string_view(replacement.from).size(), replacement.to);
+}
+
+class BadConfiguration : public ::testing::TestWithParam<Replacement>
+{
+};
+
+TEST_P(BadConfiguration, IsRefused)
+{
+    const std::string text = replaced(GetParam(), Document);
+    const auto read = attempt([&] { return readConfiguration(text); });
+    EXPECT_TRUE(std::holds_alternative<Failure>(read));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Documents, BadConfiguration,
+    ::testing::Values(Replacement { "cutShort", "\"tenants\":{", "" },
+                      Replacement { "unknownService", "true,\"s1\"", "true,\"s9\"" },
+                      Replacement { "noHost", "\"r2\",\"shop.example\"", "\"r2\",\"\"" },
+                      Replacement { "samePlace", "/orders/", "/status/" },
+                      Replacement { "noTime", "\"non_idempotent\",1500", "\"non_idempotent\",0" },
+                      Replacement { "nullHost", "\"r2\",\"shop.example\"", "\"r2\",null" },
+                      Replacement { "versionNotHexadecimal", "0000000c", "0000000x" },
+                      Replacement { "noVersion", "\"version\"", "\"vers\"" },
+                      Replacement { "noRoutes", "\"routes\"", "\"ruotes\"" }),
+    [](const auto &info) { return info.param.name; });
+
+const char *const AnnouncementText =
+    R"({"service":"s1","address":"10.128.0.9:8080","zone":"a","version":"v1","slots":3,)"
+    R"("state":"ready","coldRemainingMs":1500,"sequence":4,"born":1768317294151})";
+
+TEST(Announcement, IsDecoded)
+{
+    const auto read = attempt([] { return readAnnouncement("i-1", AnnouncementText); });
+    const auto &announcement = std::get<directory::Announcement>(read);
+    EXPECT_EQ(announcement.id, "i-1");
+    EXPECT_EQ(announcement.slots, 3U);
+    EXPECT_EQ(announcement.coldRemaining, Milliseconds(1500));
+    EXPECT_EQ(announcement.born, 1768317294151U);
+    EXPECT_FALSE(announcement.draining);
+}
+
+class ForeignAnnouncement : public ::testing::TestWithParam<Replacement>
+{
+};
+
+TEST_P(ForeignAnnouncement, NamesNoServer)
+{
+    const std::string text = replaced(GetParam(), AnnouncementText);
+    const auto read = attempt([&] { return readAnnouncement("i-1", text); });
+    EXPECT_TRUE(std::holds_alternative<Failure>(read));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Fields, ForeignAnnouncement,
+    ::testing::Values(Replacement { "missing", "\"zone\":\"a\",", "" },
+                      Replacement { "textForNumber", "\"slots\":3", "\"slots\":\"3\"" },
+                      Replacement { "fraction", "\"sequence\":4", "\"sequence\":4.5" },
+                      Replacement { "negative", "\"slots\":3", "\"slots\":-3" },
+                      Replacement { "unknownState", "\"ready\"", "\"resting\"" },
+                      Replacement { "notAnAddress", "10.128.0.9:8080", "somewhere" },
+                      Replacement { "bornAsText", "1768317294151", "\"1768317294151\"" },
+                      Replacement { "unreadable", "{", "\x01" }),
+    [](const auto &info) { return info.param.name; });
+
+const char *const Settings = R"(
+[self]
+nodeName = "core-a-1"
+ipAddress = "10.1.0.24"
+zone = "a"
+bootstrap = true
+dataDirectory = "/data/x"
+[network]
+internalPortRange = [7360,7375]
+seedNodes = ["10.1.0.24:8683","10.2.0.24:8683"]
+[network.listenAddresses]
+controlPlane = "10.1.0.24:8683"
+[terms.faultTolerance]
+machines = 2
+[terms.bounds]
+gracePeriodS = 6
+quotaSlack = 20
+)";
+
+TEST(Settings, AreDecoded)
+{
+    const auto read = attempt([] { return parseNodeSettings(Settings); });
+    const auto &settings = std::get<NodeSettings>(read);
+    EXPECT_EQ(settings.vm, "core-a-1");
+    EXPECT_EQ(settings.innerAddress.text(), "10.1.0.24:7360");
+    EXPECT_EQ(settings.controlSeeds.at(1).text(), "10.2.0.24:7360");
+    EXPECT_EQ(settings.controlAddress->text(), "10.1.0.24:8683");
+    EXPECT_FALSE(settings.callerAddress.has_value());
+    EXPECT_TRUE(settings.firstStartOfFleet);
+    EXPECT_EQ(settings.gracePeriod, Seconds(6));
+}
+
+class BadSettings : public ::testing::TestWithParam<Replacement>
+{
+};
+
+TEST_P(BadSettings, AreRefusedWithTheField)
+{
+    const std::string text = replaced(GetParam(), Settings);
+    const auto read = attempt([&] { return parseNodeSettings(text); });
+    ASSERT_TRUE(std::holds_alternative<Failure>(read));
+    EXPECT_FALSE(std::get<Failure>(read).detail.empty());
+}
+
+INSTANTIATE_TEST_SUITE_P(Fields, BadSettings,
+                         ::testing::Values(Replacement { "noName", "nodeName", "nameOfNode" },
+                                           Replacement { "noPorts", "[7360,7375]", "[]" },
+                                           Replacement { "badSeed", "10.2.0.24:8683", "there" },
+                                           Replacement { "notToml", "[self]", "[self" }),
+                         [](const auto &info) { return info.param.name; });
+
+} // namespace
+} // namespace daisyhaven::platform
