No sound server is left without work for two seconds

Ruled out: suspicion, those servers had no failures. Change: a server without a request for 1.2 s is preferred.

--- a/src/scheduler/internal/state.h
+++ b/src/scheduler/internal/state.h
@@ -40,13 +40,17 @@
 
 struct ServerState
 {
-    ServerState(ServerInfo serverInfo, Instant now) : info(std::move(serverInfo)), health(now) { }
+    ServerState(ServerInfo serverInfo, Instant now)
+        : info(std::move(serverInfo)), health(now), grantedAt(now)
+    {
+    }
 
     ServerInfo info;
     ServerHealth health;
     TokenBucket cold;
     std::uint32_t granted = 0;
     std::uint32_t heldElsewhere = 0;
+    Instant grantedAt;
     // A suspected server gets its next request then.
     Instant trialAt;
     Duration trialPause { 0 };
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -26,6 +26,10 @@
 constexpr double CostOfOtherZoneForBulk = 0.35;
 constexpr double CostOfNewConnection = 0.25;
 constexpr double CostOfSlowness = 0.25;
+// A server without a request for this long is preferred to any other that is sound: only its results
+// tell how it does.
+constexpr Milliseconds NeglectedAfter { 1200 };
+constexpr double BonusOfNeglect = 1.5;
 constexpr double CostJitter = 0.05;
 constexpr double LargestSlowness = 3;
 constexpr double SmallestSlowness = 0.5;
@@ -301,6 +305,9 @@
     if (question.connected.count(server.info.id) == 0) {
         cost += CostOfNewConnection;
     }
+    if (now - server.grantedAt > NeglectedAfter) {
+        cost -= BonusOfNeglect;
+    }
     return cost;
 }
 
@@ -342,6 +349,7 @@
         server.cold.take(1, now);
     }
     ++server.granted;
+    server.grantedAt = now;
     const std::uint64_t slot = ++lastSlot_;
     Held held;
     held.service = question.service;
--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -471,6 +471,33 @@
     EXPECT_EQ(fleet.ask(question).grants.at(0).server, "b2");
 }
 
+// Light load from few VMs that keep their connections: no sound server may be left out for two seconds.
+TEST(Choice, LeavesNoServerWithoutWorkForLong)
+{
+    Fleet fleet;
+    fleet.addServers(10, 4, "a");
+    fleet.addServers(10, 4, "b");
+    std::map<std::string, Instant> servedAt;
+    Duration longest { 0 };
+    for (int step = 0; step < 2000; ++step) {
+        fleet.advance(Milliseconds(20));
+        Question question = fleet.question();
+        question.connected = { "a0", "a1", "a2", "a3" };
+        for (const Grant &grant : fleet.ask(question).grants) {
+            servedAt[grant.server] = fleet.now;
+            fleet.scheduler.release(fleet.now, grant.slot, Outcome::Success, Milliseconds(100));
+        }
+        if (step < 200) {
+            continue;
+        }
+        for (const auto &[server, at] : servedAt) {
+            longest = std::max<Duration>(longest, fleet.now - at);
+        }
+    }
+    EXPECT_EQ(servedAt.size(), 20U);
+    EXPECT_LE(longest, Milliseconds(2000));
+}
+
 TEST(Choice, LeavesOutWhatTheQuestionAvoids)
 {
     Fleet fleet;
