HTTP heads reach the parser whole

Ruled out: our own buffers, the spoilt bytes appear with the parser alone, at every cut inside the line. Change: a head is handed to the parser once its end is there. The test cuts messages at every byte; it failed before at every cut inside the request line.

--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -8,6 +8,8 @@
 
 #include <sys/socket.h>
 
+#include <array>
+
 namespace daisyhaven::http {
 namespace {
 
@@ -170,5 +172,77 @@
         AnswerCase { "noAnswerAtAll", "hello\r\n\r\n", Ending::Keep, nullptr, false }),
     [](const auto &info) { return info.param.name; });
 
+// ---- messages that come in pieces ----
+
+// Sends `message` to a server connection, cut at `cuts`, and returns what the connection made of
+// it.
+std::string readInPieces(const std::string &message, const std::vector<std::size_t> &cuts)
+{
+    const std::unique_ptr<event_base, EventBaseDeleter> base(event_base_new());
+    std::array<int, 2> sockets {};
+    socketpair(AF_UNIX, SOCK_STREAM, 0, sockets.data());
+    evutil_make_socket_nonblocking(sockets[0]);
+    std::string text;
+    ServerConnection::Callbacks callbacks;
+    callbacks.head = [&](const RequestHead &head) {
+        text += head.method + " " + head.path + "?" + head.query + "\n";
+        for (const Header &field : head.headers.fields()) {
+            text += field.name + "=" + field.value + "\n";
+        }
+    };
+    callbacks.body = [&](std::string_view data) { text.append(data); };
+    callbacks.end = [&] { text += "<end>"; };
+    callbacks.invalid = [&](const Failure &failure) { text += toString(failure); };
+    callbacks.closed = [] {};
+    const ServerConnection connection(base.get(), sockets[0], callbacks);
+    std::size_t from = 0;
+    for (std::size_t i = 0; i <= cuts.size(); ++i) {
+        const std::size_t to = i < cuts.size() ? cuts[i] : message.size();
+        EXPECT_EQ(write(sockets[1], message.data() + from, to - from),
+                  static_cast<ssize_t>(to - from));
+        from = to;
+        event_base_loop(base.get(), EVLOOP_NONBLOCK);
+        event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    }
+    close(sockets[1]);
+    return text;
+}
+
+const std::string RequestInPieces = "POST /orders/special/17?x=1&y=2 HTTP/1.1\r\n"
+                                    "Host: shop.example\r\n"
+                                    "X-Request: 9c41d07be2a35f68\r\n"
+                                    "Content-Length: 11\r\n\r\nhello world";
+
+const std::string ChunkedInPieces = "POST /photos/17 HTTP/1.1\r\n"
+                                    "Host: shop.example\r\n"
+                                    "Transfer-Encoding: chunked\r\n\r\n"
+                                    "1b\r\nabcdefghijklmnopqrstuvwxyz!\r\n"
+                                    "5\r\nhello\r\n0\r\n\r\n";
+
+class Pieces : public ::testing::TestWithParam<std::string>
+{
+};
+
+// Slow links split messages anywhere: what is read must not depend on it.
+TEST_P(Pieces, ASplitAnywhereChangesNothing)
+{
+    const std::string whole = readInPieces(GetParam(), {});
+    ASSERT_NE(whole.find("<end>"), std::string::npos) << whole;
+    for (std::size_t cut = 1; cut < GetParam().size(); ++cut) {
+        EXPECT_EQ(readInPieces(GetParam(), { cut }), whole) << "cut at " << cut;
+    }
+}
+
+TEST_P(Pieces, ByteByByteChangesNothing)
+{
+    std::vector<std::size_t> cuts;
+    for (std::size_t cut = 1; cut < GetParam().size(); ++cut) {
+        cuts.push_back(cut);
+    }
+    EXPECT_EQ(readInPieces(GetParam(), cuts), readInPieces(GetParam(), {}));
+}
+
+INSTANTIATE_TEST_SUITE_P(Messages, Pieces, ::testing::Values(RequestInPieces, ChunkedInPieces));
+
 } // namespace
 } // namespace daisyhaven::http
--- a/src/http/internal/message.h
+++ b/src/http/internal/message.h
@@ -42,7 +42,8 @@
 public:
     MessageReader(htp_type type, MessageSink &sink);
 
-    // Feeds bytes; returns how many belong to the present message. Stops after its end.
+    // Feeds bytes; returns how many belong to the present message. Stops after its end. Takes
+    // nothing until the whole head is there.
     std::size_t feed(const char *data, std::size_t length);
     ReadState state() const { return state_; }
     // Prepares for the next message.
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -173,12 +173,24 @@
     state_ = ReadState::Wants;
 }
 
+// The parser spoils a request line that it gets in pieces, so it gets heads whole.
+static bool holdsWholeHead(std::string_view data)
+{
+    return data.find("\r\n\r\n") != std::string_view::npos
+        || data.find("\n\n") != std::string_view::npos;
+}
+
 std::size_t MessageReader::feed(const char *data, std::size_t length)
 {
     static htparse_hooks hooks = makeHooks();
     if (state_ != ReadState::Wants) {
         return 0;
     }
+    inMessage_ = inMessage_ || length > 0;
+    if (!headDone_ && !holdsWholeHead({ data, length })) {
+        state_ = length > MaxHeadBytes ? ReadState::HeadTooLarge : ReadState::Wants;
+        return 0;
+    }
     const bool headBefore = headDone_;
     const std::size_t consumed = htparser_run(parser_.get(), &hooks, data, length);
     if (!headBefore) {
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -26,8 +26,8 @@
 constexpr double CostOfOtherZoneForBulk = 0.35;
 constexpr double CostOfNewConnection = 0.25;
 constexpr double CostOfSlowness = 0.25;
-// A server without a request for this long is preferred to any other that is sound: only its results
-// tell how it does.
+// A server without a request for this long is preferred to any other that is sound: only its
+// results tell how it does.
 constexpr Milliseconds NeglectedAfter { 1200 };
 constexpr double BonusOfNeglect = 1.5;
 constexpr double CostJitter = 0.05;
--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -471,7 +471,8 @@
     EXPECT_EQ(fleet.ask(question).grants.at(0).server, "b2");
 }
 
-// Light load from few VMs that keep their connections: no sound server may be left out for two seconds.
+// Light load from few VMs that keep their connections: no sound server may be left out for two
+// seconds.
 TEST(Choice, LeavesNoServerWithoutWorkForLong)
 {
     Fleet fleet;
