--- a/src/gateway/servercall.cpp
+++ b/src/gateway/servercall.cpp
@@ -107,7 +107,9 @@
         parts_.metrics.add("daisyhaven_server_connections_total", {});
         connectLimit_ = parts_.timers.after(ConnectTimeout, [weak] {
             const auto self = weak.lock();
-            if (self && !self->finished_ && !self->connected_) {
+            // The notice that the connection is open comes later than its first bytes leave.
+            const bool waiting = self && !self->finished_ && !self->connected_;
+            if (waiting && !self->connection_->mayHaveSent()) {
                 self->fail({ scheduler::Outcome::ConnectTimeout, ResultCode::BackendConnectFailed,
                              false, "no connection in time" });
             }
@@ -225,7 +227,7 @@
 
 void ServerCall::connectionClosed()
 {
-    if (!connected_) {
+    if (!connected_ && !connection_->mayHaveSent()) {
         fail({ scheduler::Outcome::ConnectRefused, ResultCode::BackendConnectFailed, false,
                "connection refused" });
         return;
@@ -244,7 +246,7 @@
 void ServerCall::fail(const CallFailure &failure)
 {
     CallFailure result = failure;
-    result.mayHaveRun = failure.mayHaveRun && connection_->mayHaveSent();
+    result.mayHaveRun = connection_->mayHaveSent();
     if (reused_) {
         parts_.pool.drop(slot_.server);
     }
--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -172,6 +172,38 @@
         AnswerCase { "noAnswerAtAll", "hello\r\n\r\n", Ending::Keep, nullptr, false }),
     [](const auto &info) { return info.param.name; });
 
+// ---- what may have been sent ----
+
+// Whatever a server has received, its client knows that it may have sent it, before any callback says
+// that the connection is open: a request is never taken for unsent while a server runs it.
+TEST(Sent, IsKnownBeforeTheServerCanAct)
+{
+    const std::unique_ptr<event_base, EventBaseDeleter> base(event_base_new());
+    bool received = false;
+    std::unique_ptr<ServerConnection> server;
+    auto listener = attempt([&] {
+        return Listener::open(base.get(), address(), [&](int socket) {
+            ServerConnection::Callbacks callbacks;
+            callbacks.head = [&](const RequestHead &) { received = true; };
+            callbacks.end = [] {};
+            callbacks.closed = [] {};
+            server = std::make_unique<ServerConnection>(base.get(), socket, callbacks);
+        });
+    });
+    ASSERT_TRUE(std::holds_alternative<std::unique_ptr<Listener>>(listener));
+    ClientConnection client(base.get(), address());
+    client.setCallbacks({});
+    Headers headers;
+    headers.add("Host", "shop.example");
+    client.sendHead("GET", "/", headers, Framing::None, 0);
+    EXPECT_FALSE(client.mayHaveSent());
+    for (int turn = 0; turn < 2000 && !received; ++turn) {
+        event_base_loop(base.get(), EVLOOP_NONBLOCK);
+        EXPECT_TRUE(!received || client.mayHaveSent());
+    }
+    EXPECT_TRUE(received);
+}
+
 // ---- messages that come in pieces ----
 
 // Sends `message` to a server connection, cut at `cuts`, and returns what the connection made of
