Without a leader: requests wait for the next one, shares of rates use what is tolerated

Change: a request waits up to 0.45 s for a leader that was lost within 1.2 s; a VM's burst is its part of what is tolerated beyond the usual spending; a shed is no sign of failure; connected servers are preferred more, and only those of the service are told.

--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -98,6 +98,8 @@
     // True if a leader was heard within LeaderSilence.
     bool hasLeader() const;
     std::optional<peer::Address> leader() const;
+    // Time since a leader was heard last; longest if none ever was.
+    Duration leaderSilence() const;
     // How long the leader has owed an answer to anything.
     Duration leaderOwes() const;
     // Every control VM that is known.
--- a/src/coordination/leaderclient.cpp
+++ b/src/coordination/leaderclient.cpp
@@ -52,6 +52,11 @@
     bool hasLeader() const { return leader_ && timers_.now() - heardAt_ < LeaderSilence; }
     std::optional<peer::Address> leader() const { return leader_; }
 
+    Duration leaderSilence() const
+    {
+        return heardAt_ == Instant() ? Duration::max() : timers_.now() - heardAt_;
+    }
+
     Duration leaderOwes() const { return leader_ ? clients_.silence(*leader_) : Duration(0); }
 
     std::vector<peer::Address> controlAddresses() const { return { known_.begin(), known_.end() }; }
@@ -316,6 +321,11 @@
     return impl_->leader();
 }
 
+Duration LeaderClient::leaderSilence() const
+{
+    return impl_->leaderSilence();
+}
+
 Duration LeaderClient::leaderOwes() const
 {
     return impl_->leaderOwes();
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -254,7 +254,8 @@
     question.zone = parts_.options.zone;
     question.avoid = parts_.slots.unreachable(service_);
     question.avoid.insert(usedServers_.begin(), usedServers_.end());
-    question.connected = parts_.pool.connected(longestIdle(repeatable));
+    question.connected =
+        parts_.slots.ofService(parts_.pool.connected(longestIdle(repeatable)), service_);
     question.fingerprint = fingerprint_;
     return question;
 }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -73,7 +73,7 @@
               timers, clients,
               { options_.vm, incarnation_, options_.controlSeeds, std::nullopt, options_.reader },
               { nullptr, [this](std::uint64_t epoch) { return slots_.heldElsewhere(epoch); } }),
-          slots_(timers, leader_, metrics, options_.vm, incarnation_, options_.rateSlack),
+          slots_(timers, leader_, metrics, options_.vm, incarnation_, options_.rateTolerance),
           pool_(base, timers),
           shares_(std::random_device {}()), parts_ { base_,   timers_, metrics_, options_,
                                                      leader_, slots_,  pool_,    shares_ }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -55,8 +55,7 @@
     routing::DocumentReader reader = nullptr;
     // Time between the request to stop and the end of the process.
     Duration gracePeriod = Seconds(6);
-    // What all teams together may exceed a burst by.
-    double rateSlack = 0;
+    scheduler::RateTolerance rateTolerance;
 };
 
 class GatewayTask
--- a/src/gateway/internal/slotclient.h
+++ b/src/gateway/internal/slotclient.h
@@ -39,7 +39,8 @@
     using Callback = std::function<void(const SlotResult &)>;
 
     SlotClient(TimerService &timers, coordination::LeaderClient &leader, Metrics &metrics,
-               std::string vm, std::uint64_t incarnation, double rateSlack);
+               std::string vm, std::uint64_t incarnation,
+               const scheduler::RateTolerance &rateTolerance);
 
     // Asks for a slot; `question.key` is set here. `callback` runs once unless the ticket returned
     // is withdrawn.
@@ -49,6 +50,9 @@
 
     // Slots in use that the leader of `epoch` did not grant.
     std::map<std::string, std::uint32_t> heldElsewhere(std::uint64_t epoch) const;
+    // Those of `servers` that belong to `service`.
+    std::set<std::string> ofService(const std::set<std::string> &servers,
+                                    const std::string &service) const;
     // Servers that this VM could not reach lately, unless that is most of them.
     std::set<std::string> unreachable(const std::string &service) const;
 
@@ -57,8 +61,15 @@
     {
         scheduler::Question question;
         Callback callback;
+        // Without a leader until then, this VM chooses by itself.
+        Instant localChoiceAt;
+        // The present leader has the question.
+        bool asked = false;
     };
 
+    bool leaderIsTrusted() const;
+    Instant localChoiceAt(const scheduler::Question &question) const;
+    void waitOrChoose(std::uint64_t ticket);
     void askLeader(std::uint64_t ticket);
     void leaderAnswered(std::uint64_t ticket,
                         const std::variant<wire::SlotAnswer, Failure> &result);
@@ -75,7 +86,7 @@
     Metrics &metrics_;
     std::string vm_;
     std::uint64_t incarnation_;
-    double rateSlack_;
+    scheduler::RateTolerance rateTolerance_;
     scheduler::LocalChooser chooser_;
     std::uint64_t lastTicket_ = 0;
     std::map<std::uint64_t, Pending> pending_;
--- a/src/gateway/slotclient.cpp
+++ b/src/gateway/slotclient.cpp
@@ -15,7 +15,12 @@
 constexpr Milliseconds AnswerGrace { 200 };
 constexpr Milliseconds UnreachablePause { 2000 };
 constexpr Milliseconds LocalRetryAfter { 500 };
-constexpr std::size_t MaxConnectedTold = 8;
+constexpr std::size_t MaxConnectedTold = 16;
+// A leader that was lost is replaced within a second: for that time requests wait for the next one.
+constexpr Milliseconds TakeOverTime { 1200 };
+constexpr Milliseconds LongestWaitForLeader { 450 };
+// Time that a request needs once it has a slot, so that its answer comes within its target.
+constexpr Milliseconds ServiceReserve { 250 };
 
 std::uint32_t millisecondsUntil(Instant now, Instant until)
 {
@@ -31,9 +36,10 @@
 } // namespace
 
 SlotClient::SlotClient(TimerService &timers, coordination::LeaderClient &leader, Metrics &metrics,
-                       std::string vm, std::uint64_t incarnation, double rateSlack)
+                       std::string vm, std::uint64_t incarnation,
+                       const scheduler::RateTolerance &rateTolerance)
     : timers_(timers), leader_(leader), metrics_(metrics), vm_(std::move(vm)),
-      incarnation_(incarnation), rateSlack_(rateSlack), chooser_(std::random_device {}())
+      incarnation_(incarnation), rateTolerance_(rateTolerance), chooser_(std::random_device {}())
 {
 }
 
@@ -41,11 +47,11 @@
 {
     const std::uint64_t ticket = ++lastTicket_;
     question.key = { vm_, incarnation_, ticket };
-    pending_[ticket] = { std::move(question), std::move(callback) };
-    if (leader_.hasLeader() && leader_.leaderOwes() < LeaderPatience) {
+    pending_[ticket] = { std::move(question), std::move(callback), localChoiceAt(question), false };
+    if (leaderIsTrusted()) {
         askLeader(ticket);
     } else {
-        timers_.post([this, ticket] { chooseLocally(ticket, "no leader"); });
+        timers_.post([this, ticket] { waitOrChoose(ticket); });
     }
     if (!watch_.active()) {
         watch_ = timers_.every(WatchPeriod, [this] { watchLeader(); });
@@ -53,8 +59,38 @@
     return ticket;
 }
 
+bool SlotClient::leaderIsTrusted() const
+{
+    return leader_.hasLeader() && leader_.leaderOwes() < LeaderPatience;
+}
+
+// A request waits for a new leader as long as its answer can still come within its target.
+Instant SlotClient::localChoiceAt(const scheduler::Question &question) const
+{
+    const Instant now = timers_.now();
+    return std::min(now + Duration(LongestWaitForLeader),
+                    question.target - Duration(ServiceReserve));
+}
+
+void SlotClient::waitOrChoose(std::uint64_t ticket)
+{
+    const auto pending = pending_.find(ticket);
+    if (pending == pending_.end() || pending->second.asked) {
+        return;
+    }
+    if (leaderIsTrusted()) {
+        askLeader(ticket);
+        return;
+    }
+    const bool takeOver = leader_.leaderSilence() < TakeOverTime;
+    if (!takeOver || timers_.now() >= pending->second.localChoiceAt) {
+        chooseLocally(ticket, "no leader");
+    }
+}
+
 void SlotClient::askLeader(std::uint64_t ticket)
 {
+    pending_.at(ticket).asked = true;
     const scheduler::Question &question = pending_.at(ticket).question;
     const Instant now = timers_.now();
     wire::SlotQuestion message;
@@ -90,8 +126,12 @@
 void SlotClient::leaderAnswered(std::uint64_t ticket,
                                 const std::variant<wire::SlotAnswer, Failure> &result)
 {
-    if (const auto *failure = std::get_if<Failure>(&result)) {
-        chooseLocally(ticket, resultInfo(failure->code).name);
+    if (std::holds_alternative<Failure>(result)) {
+        const auto unanswered = pending_.find(ticket);
+        if (unanswered != pending_.end()) {
+            unanswered->second.asked = false;
+            waitOrChoose(ticket);
+        }
         return;
     }
     const auto &answer = std::get<wire::SlotAnswer>(result);
@@ -154,17 +194,21 @@
 
 void SlotClient::watchLeader()
 {
-    const bool trusted = leader_.hasLeader() && leader_.leaderOwes() < LeaderPatience;
-    if (trusted) {
-        return;
-    }
+    const bool trusted = leaderIsTrusted();
     std::vector<std::uint64_t> tickets;
     for (const auto &[ticket, pending] : pending_) {
         tickets.push_back(ticket);
     }
     for (const std::uint64_t ticket : tickets) {
-        tellWithdrawn(ticket);
-        chooseLocally(ticket, "the leader is silent");
+        const auto pending = pending_.find(ticket);
+        if (pending == pending_.end()) {
+            continue;
+        }
+        if (pending->second.asked && !trusted) {
+            tellWithdrawn(ticket);
+            pending->second.asked = false;
+        }
+        waitOrChoose(ticket);
     }
 }
 
@@ -191,7 +235,7 @@
                              "no leader: nothing is sent a second time" };
     }
     const routing::Team *team = view.table ? view.table->findTeam(question.team) : nullptr;
-    chooser_.setSharing(view.entryVms, rateSlack_);
+    chooser_.setSharing(view.entryVms, rateTolerance_);
     const bool mustPay = team != nullptr && !question.hasToken;
     if (mustPay && !chooser_.admit(now, *team)) {
         return SlotRefused { ResultCode::RateExceeded, LocalRetryAfter,
@@ -259,6 +303,19 @@
     return held;
 }
 
+std::set<std::string> SlotClient::ofService(const std::set<std::string> &servers,
+                                            const std::string &service) const
+{
+    std::set<std::string> found;
+    for (const std::string &id : servers) {
+        const auto server = leader_.view().servers.find(id);
+        if (server != leader_.view().servers.end() && server->second.info.service == service) {
+            found.insert(id);
+        }
+    }
+    return found;
+}
+
 std::set<std::string> SlotClient::unreachable(const std::string &service) const
 {
     const Instant now = timers_.now();
--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -174,8 +174,8 @@
 
 // ---- what may have been sent ----
 
-// Whatever a server has received, its client knows that it may have sent it, before any callback says
-// that the connection is open: a request is never taken for unsent while a server runs it.
+// Whatever a server has received, its client knows that it may have sent it, before any callback
+// says that the connection is open: a request is never taken for unsent while a server runs it.
 TEST(Sent, IsKnownBeforeTheServerCanAct)
 {
     const std::unique_ptr<event_base, EventBaseDeleter> base(event_base_new());
--- a/src/scheduler/internal/serverhealth.h
+++ b/src/scheduler/internal/serverhealth.h
@@ -23,6 +23,8 @@
     void observeOverdue(Instant now);
     // Probability that the next request fails because of the server.
     double failing(Instant now) const;
+    // Share of the last requests that the server did not take.
+    double shedShare() const { return shedShare_; }
     // Usual latency of this server as a multiple of its peers'.
     double slowness() const { return slowness_; }
 
@@ -33,6 +35,7 @@
     double failing_;
     Instant updatedAt_;
     double slowness_ = 1;
+    double shedShare_ = 0;
     // When each VM last reported a failure that may be its path's.
     std::map<std::string, Instant> pathFailures_;
 };
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -24,7 +24,7 @@
 constexpr double CostOfFailingOnce = 5.0;
 constexpr double CostOfOtherZone = 0.2;
 constexpr double CostOfOtherZoneForBulk = 0.35;
-constexpr double CostOfNewConnection = 0.25;
+constexpr double CostOfNewConnection = 0.45;
 constexpr double CostOfSlowness = 0.25;
 // A server without a request for this long is preferred to any other that is sound: only its
 // results tell how it does.
@@ -42,7 +42,8 @@
 constexpr Seconds RepeatableMemory { 3 };
 // A trial needs time for a second try elsewhere.
 constexpr Milliseconds TrialReserve { 600 };
-constexpr Milliseconds PauseAfterShed { 60 };
+constexpr Milliseconds PauseAfterShed { 30 };
+constexpr double CostOfShedding = 1.0;
 // A slot whose VM says nothing is free again this long after the request's deadline.
 constexpr Milliseconds SlotGrace { 500 };
 
@@ -299,6 +300,7 @@
     cost += (question.repeatable ? CostOfFailing : CostOfFailingOnce) * server.health.failing(now);
     const double slowness = std::clamp(server.health.slowness(), SmallestSlowness, LargestSlowness);
     cost += CostOfSlowness * (slowness - 1);
+    cost += CostOfShedding * server.health.shedShare();
     if (server.info.zone != question.zone) {
         cost += question.bulk ? CostOfOtherZoneForBulk : CostOfOtherZone;
     }
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -270,6 +270,15 @@
     std::set<std::string> suspected_;
 };
 
+// By how much a team may exceed its rate and burst, over all VMs together.
+struct RateTolerance
+{
+    // In any window, (rate x window + burst) x (1 + overshoot) + slack requests may start.
+    double overshoot = 0;
+    double slack = 0;
+    Duration window = Seconds(5);
+};
+
 // A server as an entry VM knows it from its last view.
 struct KnownServer
 {
@@ -285,8 +294,8 @@
 public:
     explicit LocalChooser(std::uint64_t seed) : random_(seed) { }
 
-    // Entry VMs that share the limits, and what all of them together may exceed a burst by.
-    void setSharing(std::size_t entryVms, double rateSlack);
+    // Entry VMs that share the limits, and what is tolerated of all of them together.
+    void setSharing(std::size_t entryVms, const RateTolerance &tolerance);
     // Notes what the leader answered, to know this VM's share of the team's rate.
     void noteAdmitted(Instant now, const std::string &team);
     void noteRefused(Instant now, const std::string &team);
@@ -307,9 +316,11 @@
         std::optional<internal::TokenBucket> bucket;
     };
 
+    internal::TokenBucket makeShare(Instant now, const Share &share, const routing::Team &team);
+
     std::mt19937_64 random_;
     std::size_t entryVms_ = 1;
-    double rateSlack_ = 0;
+    RateTolerance tolerance_;
     std::map<std::string, Share> shares_;
 };
 
--- a/src/scheduler/serverhealth.cpp
+++ b/src/scheduler/serverhealth.cpp
@@ -19,7 +19,7 @@
 constexpr double RefusedRatio = 60;
 constexpr double PathFailureRatio = 8;
 constexpr double RepeatedPathFailureRatio = 1.5;
-constexpr double ShedRatio = 2;
+
 constexpr double OverdueRatio = 4;
 constexpr double VerySlowRatio = 4;
 constexpr double SlowRatio = 1.3;
@@ -27,6 +27,7 @@
 constexpr double VerySlowLatency = 4;
 constexpr double SlowLatency = 2.5;
 constexpr double SlownessWeight = 0.1;
+constexpr double ShedWeight = 0.15;
 constexpr double LargestProbability = 0.995;
 constexpr double SmallestProbability = 0.002;
 // A VM that reports the same server again within this time reports its path.
@@ -71,6 +72,7 @@
 {
     switch (outcome) {
     case Outcome::Success:
+        shedShare_ -= shedShare_ * ShedWeight;
         slowness_ += (std::min(latencyRatio, VerySlowLatency) - slowness_) * SlownessWeight;
         weigh(now, successRatio(latencyRatio));
         return;
@@ -90,7 +92,7 @@
         weigh(now, pathRatio(now, vm));
         return;
     case Outcome::Shed:
-        weigh(now, ShedRatio);
+        shedShare_ += (1 - shedShare_) * ShedWeight;
         return;
     case Outcome::NotSent:
     case Outcome::Cancelled:
