A new leader starts without slack for repeats; explain; late answers logged

Second tries of unsent requests counted as first ones, too. Ruled out: entry VMs without a leader, they send nothing twice.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -305,6 +305,7 @@
 {
     stage_ = Stage::Running;
     usedServers_.insert(slot.server);
+    lastServer_ = slot.server;
     call_ = std::make_shared<ServerCall>(parts_, slot);
     fed_ = false;
     const auto call = call_;
@@ -455,6 +456,7 @@
         logOutcome("the server failed it", ResultCode::BackendFailed,
                    "status " + std::to_string(head.status));
     }
+    logIfLate();
     if (sink_ != nullptr) {
         const bool bodiless = head.status == 204 || head.status == 304;
         const std::uint64_t length = head_.method == "HEAD" ? head.contentLength : body.size();
@@ -504,7 +506,6 @@
 
 void Exchange::callFailed(const CallFailure &failure)
 {
-    const std::string server = call_->slot().server;
     releaseSlot(failure.outcome);
     if (failure.mayHaveRun) {
         ++sends_;
@@ -513,7 +514,7 @@
         ++unsentTries_;
     }
     if (answerBegun_) {
-        logOutcome("broken off", failure.code, failure.detail + " server=" + server);
+        logOutcome("broken off", failure.code, failure.detail);
         if (sink_ != nullptr) {
             AnswerSink *sink = sink_;
             sink_ = nullptr;
@@ -526,7 +527,7 @@
         tryAgain(failure.mayHaveRun, failure.detail);
         return;
     }
-    settleFailure(failure.code, failure.detail + " server=" + server);
+    settleFailure(failure.code, failure.detail);
 }
 
 // `sent`: the last try reached a server, so that the next one counts as a repeat.
@@ -535,6 +536,7 @@
     logEvent(Event::RequestRetried,
              { { "request", requestId_ },
                { "route", route_->name },
+               { "server", lastServer_ },
                { "cause", cause },
                { "sends", sends_ },
                { "msLeft", (deadline_ - parts_.now()).count() / 1000 } });
@@ -566,6 +568,7 @@
     if (call_) {
         parts_.metrics.observe("daisyhaven_server_seconds", { { "service", service_ } },
                                std::chrono::duration<double>(call_->latency()).count());
+        serverTime_ += call_->latency();
         parts_.slots.release(call_->slot(), outcome, call_->latency());
         call_->abandon();
         call_.reset();
@@ -587,7 +590,6 @@
         return;
     }
     const bool ran = call_->mayHaveRun();
-    const std::string server = call_->slot().server;
     mayHaveRun_ = mayHaveRun_ || ran;
     releaseSlot(ran ? scheduler::Outcome::NoAnswer : scheduler::Outcome::ConnectTimeout);
     if (answerBegun_) {
@@ -599,7 +601,7 @@
         finish();
         return;
     }
-    settleFailure(ResultCode::BackendTimeout, "no answer in time, server=" + server);
+    settleFailure(ResultCode::BackendTimeout, "no answer in time");
 }
 
 // ---- the caller ----
@@ -675,6 +677,7 @@
                { "detail", detail },
                { "route", route_ == nullptr ? "" : route_->name },
                { "service", service_ },
+               { "server", lastServer_ },
                { "team", team_ == nullptr ? "" : team_->name },
                { "sends", sends_ },
                { "unsentTries", unsentTries_ },
@@ -686,6 +689,24 @@
                { "version", view.version } });
 }
 
+void Exchange::logIfLate() const
+{
+    const Duration age = parts_.now() - startedAt_;
+    if (age <= Duration(route_->targetLatency)) {
+        return;
+    }
+    logEvent(Event::RequestLate,
+             { { "request", requestId_ },
+               { "route", route_->name },
+               { "service", service_ },
+               { "server", lastServer_ },
+               { "ageMs", age.count() / 1000 },
+               { "targetMs", route_->targetLatency.count() },
+               { "serverMs", serverTime_.count() / 1000 },
+               { "sends", sends_ },
+               { "unsentTries", unsentTries_ } });
+}
+
 void Exchange::count(int status) const
 {
     parts_.metrics.add("daisyhaven_requests_total",
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -84,6 +84,7 @@
     void refuse(ResultCode code, const std::string &detail, Duration retryAfter);
     void logOutcome(const char *what, ResultCode code, const std::string &detail) const;
     void finish();
+    void logIfLate() const;
     void count(int status) const;
 
     Parts parts_;
@@ -111,6 +112,7 @@
     std::uint64_t ticket_ = 0;
     std::shared_ptr<ServerCall> call_;
     std::set<std::string> usedServers_;
+    std::string lastServer_;
     std::uint32_t sends_ = 0;
     std::uint32_t unsentTries_ = 0;
     bool hasToken_ = false;
@@ -120,6 +122,8 @@
     bool answerBegun_ = false;
     bool answered_ = false;
 
+    // Spent on servers, over all tries.
+    Duration serverTime_ { 0 };
     Instant startedAt_;
     Instant deadline_;
     Subscription deadlineTimer_;
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -196,8 +196,8 @@
           "A caller's request was refused; it did not run." },
         { Event::RequestRetried, "RequestRetried", "info",
           "A request goes to another backend server." },
-        { Event::RequestsSummed, "RequestsSummed", "info",
-          "Requests since the last such line, by outcome." },
+        { Event::RequestLate, "RequestLate", "info",
+          "A request was answered after the target of its route." },
         { Event::LedgerRecovered, "LedgerRecovered", "info",
           "A ledger replica copied its shard and counts again." },
     };
--- a/src/observe/observe.h
+++ b/src/observe/observe.h
@@ -68,7 +68,7 @@
     RequestFailed = 1801,
     RequestRefused = 1802,
     RequestRetried = 1803,
-    RequestsSummed = 1804,
+    RequestLate = 1804,
     LedgerRecovered = 1901,
 };
 
--- a/src/operator/commands.cpp
+++ b/src/operator/commands.cpp
@@ -28,6 +28,8 @@
   daisyhaven vm (out|in) VM --fleet=FILE [--as=NAME] [--base=VERSION] [--operation=ID] [--force] [--no-wait]
   daisyhaven replica (add|remove) VM --fleet=FILE [--as=NAME] [--identity=IDENTITY]
   daisyhaven status --fleet=FILE [--as=NAME] [--json]
+  daisyhaven explain request REQUEST FILE...
+  daisyhaven explain server SERVER FILE...
   daisyhaven -h | --help
 
 Options:
@@ -375,8 +377,20 @@
     return 0;
 }
 
+Result<int> explain(const Options &options)
+{
+    const auto files = options.at("FILE").asStringList();
+    if (options.at("request").asBool()) {
+        return explainRequest(options.at("REQUEST").asString(), files, std::cout);
+    }
+    return explainServer(options.at("SERVER").asString(), files, std::cout);
+}
+
 Result<int> dispatch(const Options &options)
 {
+    if (options.at("explain").asBool()) {
+        return explain(options);
+    }
     if (options.at("check").asBool()) {
         return check(options);
     }
--- /dev/null
+++ b/src/operator/explain_test.cpp
@@ -0,0 +1,92 @@
+#include "operator/operator.h"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace daisyhaven::operations {
+namespace {
+
+const char *const EntryLog =
+    R"(0.1 edge-1 {"timeMs":1000,"process":"edge-1","name":"LeaderLost","epoch":"3"}
+{"timeMs":1500,"process":"edge-1","name":"RequestRetried","request":"r1","server":"i-2"}
+this is no log line
+{"timeMs":1600,"process":"edge-1","name":"RequestFailed","request":"r1","server":"i-1","detail":"status 500"}
+{"timeMs":1700,"process":"edge-1","name":"RequestFailed","request":"r2","server":"i-9"}
+)";
+const char *const ControlLog =
+    R"({"timeMs":900,"process":"core-1","name":"ServerChanged","server":"i-1","address":"10.0.0.1:80"}
+{"timeMs":1400,"process":"core-1","name":"ServerSuspected","server":"i-1","failingPercent":"60"}
+{"timeMs":1450,"process":"core-1","name":"ServerSuspected","server":"i-7","failingPercent":"60"}
+)";
+
+class Explain : public ::testing::Test
+{
+protected:
+    Explain()
+    {
+        std::ofstream(files_[0]) << EntryLog;
+        std::ofstream(files_[1]) << ControlLog;
+    }
+    ~Explain() override
+    {
+        for (const std::string &file : files_) {
+            std::filesystem::remove(file);
+        }
+    }
+
+    std::string base_ = std::filesystem::temp_directory_path().string() + "/explain-"
+        + std::to_string(::getpid());
+    std::vector<std::string> files_ { base_ + "-entry", base_ + "-control" };
+};
+
+TEST_F(Explain, TellsARequestsStoryInOrderWithWhatWasBelieved)
+{
+    std::ostringstream out;
+    const auto done = attempt([&] { return explainRequest("r1", files_, out); });
+    EXPECT_EQ(std::get<int>(done), 0);
+    const std::string text = out.str();
+    const std::size_t suspected = text.find("ServerSuspected  failingPercent=60  server=i-1");
+    const std::size_t lost = text.find("LeaderLost");
+    const std::size_t failed = text.find("RequestFailed");
+    ASSERT_NE(suspected, std::string::npos) << text;
+    ASSERT_NE(lost, std::string::npos) << text;
+    ASSERT_NE(failed, std::string::npos) << text;
+    EXPECT_LT(lost, suspected);
+    EXPECT_LT(suspected, text.find("RequestRetried"));
+    EXPECT_LT(text.find("RequestRetried"), failed);
+    EXPECT_EQ(text.find("i-9"), std::string::npos);
+    EXPECT_EQ(text.find("i-7"), std::string::npos);
+    EXPECT_NE(text.find("1 lines could not be read"), std::string::npos);
+}
+
+TEST_F(Explain, SaysSoIfNothingNamesTheRequest)
+{
+    std::ostringstream out;
+    const auto done = attempt([&] { return explainRequest("r0", files_, out); });
+    EXPECT_EQ(std::get<int>(done), 1);
+    EXPECT_NE(out.str().find("no line names request r0"), std::string::npos);
+}
+
+TEST_F(Explain, TellsWhyAServerIsOutByIdOrAddress)
+{
+    for (const char *name : { "i-1", "10.0.0.1:80" }) {
+        std::ostringstream out;
+        const auto done = attempt([&] { return explainServer(name, files_, out); });
+        EXPECT_EQ(std::get<int>(done), 0);
+        EXPECT_NE(out.str().find("ServerSuspected"), std::string::npos) << name;
+    }
+}
+
+TEST_F(Explain, AMissingFileIsAnError)
+{
+    std::ostringstream out;
+    const auto done = attempt([&] { return explainRequest("r1", { base_ + "-none" }, out); });
+    EXPECT_TRUE(std::holds_alternative<Failure>(done));
+}
+
+} // namespace
+} // namespace daisyhaven::operations
--- a/src/operator/operator.h
+++ b/src/operator/operator.h
@@ -1,4 +1,4 @@
-// The operators' commands: check, publish, keys, zones, VMs, control replicas and status.
+// The operators' commands: check, publish, keys, zones, VMs, control replicas, status and explain.
 //
 // Every write carries an operation id and the version it was based on. A write whose answer was
 // lost is sent again with its id until its outcome is known or the time is over.
@@ -18,7 +18,9 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <ostream>
 #include <string>
+#include <vector>
 
 namespace daisyhaven::wire {
 class StatusReply;
@@ -73,4 +75,14 @@
 // code: 0 done, 2 invalid input, 3 refused, 4 unavailable or unknown.
 int runCommand(int argumentCount, char **arguments);
 
+// Prints what structured logs of any number of processes say of one request: its lines in order, and
+// before them what its VM and the leader believed. Returns the exit code. Errors: SettingsInvalid if a
+// file cannot be read; unreadable lines are counted and passed over.
+Result<int> explainRequest(const std::string &request, const std::vector<std::string> &files,
+                           std::ostream &out);
+
+// Prints how the belief about one backend server, named by id or address, changed.
+Result<int> explainServer(const std::string &server, const std::vector<std::string> &files,
+                          std::ostream &out);
+
 } // namespace daisyhaven::operations
--- a/src/scheduler/internal/state.h
+++ b/src/scheduler/internal/state.h
@@ -5,6 +5,7 @@
 #include "scheduler/internal/tokenbucket.h"
 #include "scheduler/scheduler.h"
 
+#include <cmath>
 #include <deque>
 #include <list>
 
@@ -14,6 +15,11 @@
 class RepeatBudget
 {
 public:
+    // An earlier leader may have spent the slack just before `startedAt`.
+    RepeatBudget(const Limits &limits, Instant startedAt)
+        : repeats_(static_cast<std::size_t>(std::ceil(limits.retrySlack)), startedAt)
+    {
+    }
     void noteFirst(Instant now) { firsts_.push_back(now); }
     void noteRepeat(Instant now) { repeats_.push_back(now); }
 
@@ -64,6 +70,11 @@
 
 struct ServiceState
 {
+    ServiceState(std::string serviceName, const Limits &limits, Instant startedAt)
+        : name(std::move(serviceName)), repeats(limits, startedAt)
+    {
+    }
+
     std::string name;
     std::map<std::string, std::unique_ptr<ServerState>> servers;
     std::list<Question> waiting;
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -123,8 +123,7 @@
 {
     auto &service = services_[name];
     if (!service) {
-        service = std::make_unique<ServiceState>();
-        service->name = name;
+        service = std::make_unique<ServiceState>(name, limits_, startedAt_);
         const routing::Service *known = table_->findService(name);
         if (known != nullptr) {
             service->coldPerSecond = known->coldRequestsPerSecond;
@@ -262,7 +261,7 @@
     }
     if (question.retry) {
         service.repeats.noteRepeat(now);
-    } else {
+    } else if (!question.hasToken) {
         service.repeats.noteFirst(now);
     }
     grant(now, *server, question);
--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -323,6 +323,44 @@
     EXPECT_GE(repeats, firsts * 0.2 + 3);
 }
 
+// Two leaders follow each other within one window: together they keep to the budget.
+TEST(Repeats, OfTwoLeadersInOneWindowStayWithinTheBudget)
+{
+    Limits limits;
+    limits.retryRatio = 0.2;
+    limits.retrySlack = 50;
+    int firsts = 0;
+    int repeats = 0;
+    for (int leader = 0; leader < 2; ++leader) {
+        Fleet fleet(limits);
+        // The first one has led for long, the second one has just begun.
+        Scheduler fresh(2, limits, 1, Start);
+        Scheduler &scheduler = leader == 0 ? fleet.scheduler : fresh;
+        for (int i = 0; i < 20; ++i) {
+            scheduler.setServer(Start, { "a" + std::to_string(i), "orders", "10.0.0.1:1", "a", 50,
+                                         false, Instant(), 1 });
+        }
+        for (int i = 0; i < 400; ++i) {
+            const Instant now = Start + Milliseconds(10 * i);
+            for (const bool retry : { false, true }) {
+                Question question = fleet.question();
+                question.deadline = now + Seconds(2);
+                question.retry = retry;
+                question.hasToken = retry;
+                scheduler.ask(now, question);
+                for (const Action &action : scheduler.takeActions()) {
+                    if (const auto *grant = std::get_if<Grant>(&action)) {
+                        (retry ? repeats : firsts) += 1;
+                        scheduler.release(now, grant->slot, Outcome::Success, Milliseconds(5));
+                    }
+                }
+            }
+        }
+    }
+    EXPECT_EQ(firsts, 800);
+    EXPECT_LE(repeats, firsts * 0.2 + 50);
+}
+
 // Every server sheds two requests in five for a while: that alone puts none of them out, and what
 // was not run goes elsewhere.
 TEST(Shedding, ByAllServersCostsNoCapacity)
