--- a/src/entry/internal/exchange.cpp
+++ b/src/entry/internal/exchange.cpp
@@ -32,7 +32,7 @@
 
 } // namespace
 
-Exchange::Exchange(ProxyParts parts, AnswerSink *sink, http::RequestHead head)
+Exchange::Exchange(ProxyParts parts, http::AnswerSink *sink, http::RequestHead head)
     : parts_(parts), sink_(sink), head_(std::move(head)), trace_(traceOf(head_)),
       startedAtWallClock_(wallClockMicroseconds()), startedAt_(parts.context.timers.now())
 {
--- a/src/entry/internal/exchangeanswer.cpp
+++ b/src/entry/internal/exchangeanswer.cpp
@@ -86,7 +86,7 @@
     parts_.context.traces.write(span);
     const auto finished = std::move(finished_);
     finished_ = nullptr;
-    AnswerSink *sink = sink_;
+    http::AnswerSink *sink = sink_;
     sink_ = nullptr;
     if (finished) {
         finished();
--- a/src/entry/internal/proxy.cpp
+++ b/src/entry/internal/proxy.cpp
@@ -5,7 +5,7 @@
 namespace daisyhaven::entry {
 
 // One connection of a caller, with its present request.
-class CallerSession : public AnswerSink, public std::enable_shared_from_this<CallerSession>
+class CallerSession : public http::AnswerSink, public std::enable_shared_from_this<CallerSession>
 {
 public:
     CallerSession(Proxy &proxy, std::uint64_t id) : proxy_(proxy), id_(id) { }
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -53,7 +53,7 @@
 
 } // namespace
 
-Exchange::Exchange(const Parts &parts, AnswerSink *sink, http::RequestHead head)
+Exchange::Exchange(const Parts &parts, http::AnswerSink *sink, http::RequestHead head)
     : parts_(parts), sink_(sink), head_(std::move(head)), startedAt_(parts.now()),
       deadline_(startedAt_ + DefaultDeadline)
 {
@@ -516,7 +516,7 @@
     if (answerBegun_) {
         logOutcome("broken off", failure.code, failure.detail);
         if (sink_ != nullptr) {
-            AnswerSink *sink = sink_;
+            http::AnswerSink *sink = sink_;
             sink_ = nullptr;
             sink->abortAnswer();
         }
@@ -593,7 +593,7 @@
     mayHaveRun_ = mayHaveRun_ || ran;
     releaseSlot(ran ? scheduler::Outcome::NoAnswer : scheduler::Outcome::ConnectTimeout);
     if (answerBegun_) {
-        AnswerSink *sink = sink_;
+        http::AnswerSink *sink = sink_;
         sink_ = nullptr;
         if (sink != nullptr) {
             sink->abortAnswer();
@@ -729,7 +729,7 @@
     buffer_.shrink_to_fit();
     const auto finished = std::move(finished_);
     finished_ = nullptr;
-    AnswerSink *sink = sink_;
+    http::AnswerSink *sink = sink_;
     sink_ = nullptr;
     const auto self = shared_from_this();
     if (finished) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -24,7 +24,7 @@
 } // namespace
 
 // One connection of a caller, with its present request.
-class CallerSession : public AnswerSink, public std::enable_shared_from_this<CallerSession>
+class CallerSession : public http::AnswerSink, public std::enable_shared_from_this<CallerSession>
 {
 public:
     CallerSession(GatewayTask::Impl &gateway, std::uint64_t id) : gateway_(gateway), id_(id) { }
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -15,28 +15,10 @@
 
 namespace daisyhaven::gateway {
 
-// Where the answer goes and what holds the request's body back.
-class AnswerSink
-{
-public:
-    virtual ~AnswerSink() = default;
-    virtual void sendHead(int status, const http::Headers &headers, http::Framing framing,
-                          std::uint64_t length) = 0;
-    virtual void sendBody(std::string_view data) = 0;
-    // The answer is whole.
-    virtual void endAnswer() = 0;
-    // The answer cannot be made whole.
-    virtual void abortAnswer() = 0;
-    virtual void sendContinue() = 0;
-    virtual void pauseBody() = 0;
-    virtual void resumeBody() = 0;
-    virtual bool outputFull() const = 0;
-};
-
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
 public:
-    Exchange(const Parts &parts, AnswerSink *sink, http::RequestHead head);
+    Exchange(const Parts &parts, http::AnswerSink *sink, http::RequestHead head);
     Exchange(const Exchange &) = delete;
     Exchange &operator=(const Exchange &) = delete;
 
@@ -88,7 +70,7 @@
     void count(int status) const;
 
     Parts parts_;
-    AnswerSink *sink_;
+    http::AnswerSink *sink_;
     http::RequestHead head_;
     std::function<void()> finished_;
     Stage stage_ = Stage::Body;
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -90,6 +90,24 @@
 // True for fields that belong to one connection and are not passed on.
 bool isHopByHop(std::string_view name);
 
+// Where the answer goes and what holds the request's body back.
+class AnswerSink
+{
+public:
+    virtual ~AnswerSink() = default;
+    virtual void sendHead(int status, const Headers &headers, Framing framing,
+                          std::uint64_t length) = 0;
+    virtual void sendBody(std::string_view data) = 0;
+    // The answer is whole.
+    virtual void endAnswer() = 0;
+    // The answer cannot be made whole.
+    virtual void abortAnswer() = 0;
+    virtual void sendContinue() = 0;
+    virtual void pauseBody() = 0;
+    virtual void resumeBody() = 0;
+    virtual bool outputFull() const = 0;
+};
+
 class ServerConnection
 {
 public:
--- a/src/operator/explain.cpp
+++ b/src/operator/explain.cpp
@@ -65,9 +65,8 @@
             }
         }
     }
-    std::stable_sort(logs.lines.begin(), logs.lines.end(), [](const LogLine &a, const LogLine &b) {
-        return a.timeMs < b.timeMs;
-    });
+    std::stable_sort(logs.lines.begin(), logs.lines.end(),
+                     [](const LogLine &a, const LogLine &b) { return a.timeMs < b.timeMs; });
     return logs;
 }
 
@@ -102,9 +101,9 @@
 
 bool isLeadership(const LogLine &line)
 {
-    static const std::set<std::string> Names { "LeaderFound", "LeaderLost", "ControlElected",
-                                               "ControlSteppedDown", "ConfigurationApplied",
-                                               "ZoneChanged" };
+    static const std::set<std::string> Names { "LeaderFound",          "LeaderLost",
+                                               "ControlElected",       "ControlSteppedDown",
+                                               "ConfigurationApplied", "ZoneChanged" };
     return Names.count(line.name) != 0;
 }
 
--- a/src/operator/explain_test.cpp
+++ b/src/operator/explain_test.cpp
@@ -38,8 +38,8 @@
         }
     }
 
-    std::string base_ = std::filesystem::temp_directory_path().string() + "/explain-"
-        + std::to_string(::getpid());
+    std::string base_ =
+        std::filesystem::temp_directory_path().string() + "/explain-" + std::to_string(::getpid());
     std::vector<std::string> files_ { base_ + "-entry", base_ + "-control" };
 };
 
--- a/src/operator/operator.h
+++ b/src/operator/operator.h
@@ -75,9 +75,9 @@
 // code: 0 done, 2 invalid input, 3 refused, 4 unavailable or unknown.
 int runCommand(int argumentCount, char **arguments);
 
-// Prints what structured logs of any number of processes say of one request: its lines in order, and
-// before them what its VM and the leader believed. Returns the exit code. Errors: SettingsInvalid if a
-// file cannot be read; unreadable lines are counted and passed over.
+// Prints what structured logs of any number of processes say of one request: its lines in order,
+// and before them what its VM and the leader believed. Returns the exit code. Errors:
+// SettingsInvalid if a file cannot be read; unreadable lines are counted and passed over.
 Result<int> explainRequest(const std::string &request, const std::vector<std::string> &files,
                            std::ostream &out);
 
--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -337,8 +337,9 @@
         Scheduler fresh(2, limits, 1, Start);
         Scheduler &scheduler = leader == 0 ? fleet.scheduler : fresh;
         for (int i = 0; i < 20; ++i) {
-            scheduler.setServer(Start, { "a" + std::to_string(i), "orders", "10.0.0.1:1", "a", 50,
-                                         false, Instant(), 1 });
+            scheduler.setServer(
+                Start,
+                { "a" + std::to_string(i), "orders", "10.0.0.1:1", "a", 50, false, Instant(), 1 });
         }
         for (int i = 0; i < 400; ++i) {
             const Instant now = Start + Milliseconds(10 * i);
