--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -545,6 +545,9 @@
         }
         const Instant now = timers_.now();
         vmsHeardAt_[request.vm()] = now;
+        for (const wire::TeamSpending &spent : request.spent()) {
+            scheduler_->noteSpentElsewhere(now, spent.team(), spent.count());
+        }
         if (request.epoch() == scheduler_->epoch()) {
             std::map<std::string, std::uint32_t> held;
             for (const wire::HeldSlots &slots : request.held()) {
--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -75,6 +75,10 @@
     std::function<void()> documentChanged;
     // Slots in use that the leader of `epoch` did not grant, by server.
     std::function<std::map<std::string, std::uint32_t>(std::uint64_t epoch)> heldElsewhere;
+    // Requests by team that were let through without a leader and that no leader knows of yet.
+    std::function<std::map<std::string, std::uint32_t>()> spentWithoutLeader;
+    // A leader knows of these now.
+    std::function<void(const std::map<std::string, std::uint32_t> &)> spendingReported;
 };
 
 class LeaderClient
--- a/src/coordination/leaderclient.cpp
+++ b/src/coordination/leaderclient.cpp
@@ -98,9 +98,28 @@
                 held->set_count(count);
             }
         }
+        if (callbacks_.spentWithoutLeader) {
+            for (const auto &[team, count] : callbacks_.spentWithoutLeader()) {
+                auto *spent = request.add_spent();
+                spent->set_team(team);
+                spent->set_count(count);
+            }
+        }
         return request;
     }
 
+    void reported(const wire::FleetViewRequest &request) const
+    {
+        if (!callbacks_.spendingReported || request.spent().empty()) {
+            return;
+        }
+        std::map<std::string, std::uint32_t> spent;
+        for (const wire::TeamSpending &team : request.spent()) {
+            spent[team.team()] = team.count();
+        }
+        callbacks_.spendingReported(spent);
+    }
+
     void maintain()
     {
         if (!active_) {
@@ -144,12 +163,13 @@
         if (!probing_.insert(address).second) {
             return;
         }
+        const wire::FleetViewRequest request = makeRequest();
         clients_.call<wire::FleetViewReply>(
-            address, peer::Method::FleetView, makeRequest(), ProbeTimeout,
-            [this, address](const peer::CallResult<wire::FleetViewReply> &result) {
+            address, peer::Method::FleetView, request, ProbeTimeout,
+            [this, address, request](const peer::CallResult<wire::FleetViewReply> &result) {
                 probing_.erase(address);
                 if (const auto *reply = std::get_if<wire::FleetViewReply>(&result)) {
-                    learn(address, *reply);
+                    answered(address, request, *reply);
                 }
             });
     }
@@ -158,13 +178,14 @@
     {
         watching_ = true;
         const peer::Address address = *leader_;
+        const wire::FleetViewRequest request = makeRequest();
         clients_.call<wire::FleetViewReply>(
-            address, peer::Method::FleetView, makeRequest(), ViewTimeout,
-            [this, address](const peer::CallResult<wire::FleetViewReply> &result) {
+            address, peer::Method::FleetView, request, ViewTimeout,
+            [this, address, request](const peer::CallResult<wire::FleetViewReply> &result) {
                 watching_ = false;
                 const auto *reply = std::get_if<wire::FleetViewReply>(&result);
                 if (reply != nullptr) {
-                    learn(address, *reply);
+                    answered(address, request, *reply);
                 } else if (leader_ == address) {
                     leader_.reset();
                 }
@@ -172,6 +193,15 @@
             });
     }
 
+    void answered(const peer::Address &address, const wire::FleetViewRequest &request,
+                  const wire::FleetViewReply &reply)
+    {
+        if (reply.leader()) {
+            reported(request);
+        }
+        learn(address, reply);
+    }
+
     void learn(const peer::Address &address, const wire::FleetViewReply &reply)
     {
         for (const std::string &member : reply.members()) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -72,7 +72,9 @@
           leader_(
               timers, clients,
               { options_.vm, incarnation_, options_.controlSeeds, std::nullopt, options_.reader },
-              { nullptr, [this](std::uint64_t epoch) { return slots_.heldElsewhere(epoch); } }),
+              { nullptr, [this](std::uint64_t epoch) { return slots_.heldElsewhere(epoch); },
+                [this] { return slots_.spentWithoutLeader(); },
+                [this](const auto &spent) { slots_.spendingReported(spent); } }),
           slots_(timers, leader_, metrics, options_.vm, incarnation_, options_.rateTolerance),
           pool_(base, timers),
           shares_(std::random_device {}()), parts_ { base_,   timers_, metrics_, options_,
--- a/src/gateway/internal/slotclient.h
+++ b/src/gateway/internal/slotclient.h
@@ -5,6 +5,7 @@
 #include "observe/observe.h"
 #include "scheduler/scheduler.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -50,6 +51,9 @@
 
     // Slots in use that the leader of `epoch` did not grant.
     std::map<std::string, std::uint32_t> heldElsewhere(std::uint64_t epoch) const;
+    // Requests by team that were let through without a leader, lately, and not reported yet.
+    std::map<std::string, std::uint32_t> spentWithoutLeader();
+    void spendingReported(const std::map<std::string, std::uint32_t> &spent);
     // Those of `servers` that belong to `service`.
     std::set<std::string> ofService(const std::set<std::string> &servers,
                                     const std::string &service) const;
@@ -78,6 +82,9 @@
     void chooseLocally(std::uint64_t ticket, const std::string &cause);
     SlotResult localResult(const scheduler::Question &question);
     void settle(std::uint64_t ticket, const SlotResult &result);
+    std::set<std::string> failedLately(const std::string &service) const;
+    std::set<std::string> avoided(const std::string &service,
+                                  const std::map<std::string, Instant> &untils) const;
     void watchLeader();
     void noteUse(const Slot &slot);
 
@@ -92,7 +99,9 @@
     std::map<std::uint64_t, Pending> pending_;
     // Slots in use by epoch and server.
     std::map<std::uint64_t, std::map<std::string, std::uint32_t>> inUse_;
+    std::map<std::string, std::deque<Instant>> spent_;
     std::map<std::string, Instant> unreachableUntil_;
+    std::map<std::string, Instant> failedUntil_;
     Subscription watch_;
 };
 
--- a/src/gateway/slotclient.cpp
+++ b/src/gateway/slotclient.cpp
@@ -14,6 +14,10 @@
 // The leader refuses in time by itself; its answer gets this long to arrive.
 constexpr Milliseconds AnswerGrace { 200 };
 constexpr Milliseconds UnreachablePause { 2000 };
+// Without a leader, a server that failed a request of this VM gets nothing from it for this long.
+constexpr Milliseconds FailurePause { 3000 };
+// Another server has its address: it is gone for as long as this VM sees no newer view.
+constexpr Seconds ReplacedPause { 60 };
 constexpr Milliseconds LocalRetryAfter { 500 };
 constexpr std::size_t MaxConnectedTold = 16;
 // A leader that was lost is replaced within a second: for that time requests wait for the next one.
@@ -144,9 +148,6 @@
         return;
     }
     const auto code = static_cast<ResultCode>(answer.result());
-    if (code == ResultCode::RateExceeded) {
-        chooser_.noteRefused(timers_.now(), pending->second.question.team);
-    }
     settle(ticket, SlotRefused { code, Milliseconds(answer.retry_after_ms()), answer.reason() });
 }
 
@@ -161,6 +162,7 @@
     }
     if (!pending->second.question.hasToken) {
         chooser_.noteAdmitted(timers_.now(), pending->second.question.team);
+        chooser_.noteFirst(timers_.now(), pending->second.question.service);
     }
     settle(ticket, slot);
 }
@@ -230,29 +232,39 @@
 {
     const Instant now = timers_.now();
     const coordination::FleetView &view = leader_.view();
-    if (question.retry) {
+    if (question.retry && !chooser_.takeRepeat(now, question.service)) {
         return SlotRefused { ResultCode::RetryBudgetSpent, LocalRetryAfter,
-                             "no leader: nothing is sent a second time" };
+                             "no leader: this VM's part of the repeats is spent" };
     }
     const routing::Team *team = view.table ? view.table->findTeam(question.team) : nullptr;
     chooser_.setSharing(view.entryVms, rateTolerance_);
     const bool mustPay = team != nullptr && !question.hasToken;
-    if (mustPay && !chooser_.admit(now, *team)) {
-        return SlotRefused { ResultCode::RateExceeded, LocalRetryAfter,
-                             "no leader: this VM's share of the team's rate is spent" };
-    }
+
     std::map<std::string, std::uint32_t> inUse;
     for (const auto &[epoch, servers] : inUse_) {
         for (const auto &[server, count] : servers) {
             inUse[server] += count;
         }
     }
+    scheduler::Question careful = question;
+    const std::set<std::string> failed = failedLately(question.service);
+    careful.avoid.insert(failed.begin(), failed.end());
     const scheduler::KnownServer *server =
-        chooser_.choose(now, question, view.servers, view.zonesOut, inUse);
+        chooser_.choose(now, leader_.leaderSilence(), careful, view.servers, view.zonesOut, inUse);
     if (server == nullptr) {
         return SlotRefused { ResultCode::NoBackendServer, LocalRetryAfter,
                              "no leader: no usable server in the view" };
     }
+    if (mustPay && !chooser_.admit(now, *team)) {
+        return SlotRefused { ResultCode::RateExceeded, LocalRetryAfter,
+                             "no leader: this VM's share of the team's rate is spent" };
+    }
+    if (!question.hasToken) {
+        chooser_.noteFirst(now, question.service);
+    }
+    if (mustPay) {
+        spent_[team->name].push_back(now);
+    }
     return Slot { server->info.id, server->info.address, 0, 0 };
 }
 
@@ -275,6 +287,11 @@
         unreachableUntil_[slot.server] = now + UnreachablePause;
     } else if (outcome == scheduler::Outcome::Success) {
         unreachableUntil_.erase(slot.server);
+        failedUntil_.erase(slot.server);
+    } else if (outcome == scheduler::Outcome::WrongServer) {
+        failedUntil_[slot.server] = now + ReplacedPause;
+    } else if (outcome != scheduler::Outcome::NotSent && outcome != scheduler::Outcome::Cancelled) {
+        failedUntil_[slot.server] = now + FailurePause;
     }
     if (slot.isLocal()) {
         return;
@@ -303,6 +320,31 @@
     return held;
 }
 
+std::map<std::string, std::uint32_t> SlotClient::spentWithoutLeader()
+{
+    // What is older counts in no window any more.
+    const Instant oldest = timers_.now() - rateTolerance_.window;
+    std::map<std::string, std::uint32_t> counts;
+    for (auto &[team, times] : spent_) {
+        while (!times.empty() && times.front() < oldest) {
+            times.pop_front();
+        }
+        if (!times.empty()) {
+            counts[team] = static_cast<std::uint32_t>(times.size());
+        }
+    }
+    return counts;
+}
+
+void SlotClient::spendingReported(const std::map<std::string, std::uint32_t> &spent)
+{
+    for (const auto &[team, count] : spent) {
+        std::deque<Instant> &times = spent_[team];
+        const std::size_t known = std::min<std::size_t>(count, times.size());
+        times.erase(times.begin(), times.begin() + static_cast<std::ptrdiff_t>(known));
+    }
+}
+
 std::set<std::string> SlotClient::ofService(const std::set<std::string> &servers,
                                             const std::string &service) const
 {
@@ -317,6 +359,17 @@
 }
 
 std::set<std::string> SlotClient::unreachable(const std::string &service) const
+{
+    return avoided(service, unreachableUntil_);
+}
+
+std::set<std::string> SlotClient::failedLately(const std::string &service) const
+{
+    return avoided(service, failedUntil_);
+}
+
+std::set<std::string> SlotClient::avoided(const std::string &service,
+                                          const std::map<std::string, Instant> &untils) const
 {
     const Instant now = timers_.now();
     std::size_t known = 0;
@@ -326,12 +379,12 @@
             continue;
         }
         ++known;
-        const auto until = unreachableUntil_.find(id);
-        if (until != unreachableUntil_.end() && now < until->second) {
+        const auto until = untils.find(id);
+        if (until != untils.end() && now < until->second) {
             servers.insert(id);
         }
     }
-    // With most of them unreachable the fault is this VM's: avoiding them would leave nothing.
+    // With most of them affected, avoiding them would leave nothing.
     return servers.size() * 2 > known ? std::set<std::string> {} : servers;
 }
 
--- a/src/scheduler/internal/teamrates.h
+++ b/src/scheduler/internal/teamrates.h
@@ -46,6 +46,14 @@
         return bucket->second.waitFor(1, now);
     }
 
+    void spentElsewhere(Instant now, const std::string &team, std::uint32_t count)
+    {
+        const auto bucket = buckets_.find(team);
+        if (bucket != buckets_.end()) {
+            bucket->second.owe(count, now);
+        }
+    }
+
     void giveBack(Instant now, const std::string &team)
     {
         const auto bucket = buckets_.find(team);
--- a/src/scheduler/internal/tokenbucket.h
+++ b/src/scheduler/internal/tokenbucket.h
@@ -43,6 +43,14 @@
         return true;
     }
 
+    // Takes `tokens` that were spent elsewhere, though they may not be there: the bucket then owes
+    // them.
+    void owe(double tokens, Instant now)
+    {
+        refill(now);
+        level_ -= tokens;
+    }
+
     void giveBack(double tokens, Instant now)
     {
         refill(now);
--- a/src/scheduler/localchooser.cpp
+++ b/src/scheduler/localchooser.cpp
@@ -1,28 +1,35 @@
 #include "scheduler/scheduler.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace daisyhaven::scheduler {
 
 namespace {
 
-// What the leader let through in this window tells this VM's share of a team's rate.
-constexpr Seconds ShareWindow { 8 };
-// A team that was refused within this time spends its whole rate already.
-constexpr Seconds RefusalMemory { 8 };
-// A team that spends its whole rate goes on with this part of its share.
-constexpr double SpentShare = 0.9;
-// A team below its rate is taken to spend up to this part of it.
-constexpr double UsualPart = 0.7;
-// Part of what is tolerated that VMs without a leader use.
-constexpr double TolerancePart = 0.85;
-constexpr double LargestLocalBurst = 8;
+// Part of what is tolerated in a window that VMs without a leader may use together; the rest is for
+// a leader that comes back before it knows what they let through.
+constexpr double LocalPart = 0.75;
+
+// Repeats of a VM without a leader, as a part of its own requests of the last seconds: half of what
+// the platform grants for these, whatever the leader spent for others.
+constexpr double RepeatRatio = 0.1;
+constexpr Seconds RepeatWindow { 10 };
 
 constexpr double CostOfOtherZone = 0.5;
 constexpr double CostOfSuspicion = 10;
+// Servers recover by themselves within seconds.
+constexpr Seconds SuspicionMemory { 3 };
 
 } // namespace
 
+static void dropBefore(std::deque<Instant> &times, Instant before)
+{
+    while (!times.empty() && times.front() < before) {
+        times.pop_front();
+    }
+}
+
 void LocalChooser::setSharing(std::size_t entryVms, const RateTolerance &tolerance)
 {
     entryVms_ = std::max<std::size_t>(entryVms, 1);
@@ -31,19 +38,9 @@
 
 void LocalChooser::noteAdmitted(Instant now, const std::string &team)
 {
-    Share &share = shares_[team];
-    share.bucket.reset();
-    share.admitted.push_back(now);
-    while (!share.admitted.empty() && now - share.admitted.front() > ShareWindow) {
-        share.admitted.pop_front();
-    }
-}
-
-void LocalChooser::noteRefused(Instant now, const std::string &team)
-{
-    Share &share = shares_[team];
-    share.bucket.reset();
-    share.refusedAt = now;
+    std::deque<Instant> &admitted = shares_[team].admitted;
+    admitted.push_back(now);
+    dropBefore(admitted, now - tolerance_.window);
 }
 
 bool LocalChooser::admit(Instant now, const routing::Team &team)
@@ -52,37 +49,48 @@
         return true;
     }
     Share &share = shares_[team.name];
-    if (!share.bucket) {
-        share.bucket = makeShare(now, share, team);
+    if (share.drawnAt == Instant() || now - share.drawnAt >= tolerance_.window) {
+        std::uniform_real_distribution<double> chance(0, 1);
+        share.roundsUpBelow = chance(random_);
+        share.drawnAt = now;
     }
-    return share.bucket->take(1, now);
-}
-
-// The refill of all VMs together is what the team usually spends; what is tolerated beyond that in
-// one window is divided evenly, as a burst of each VM.
-internal::TokenBucket LocalChooser::makeShare(Instant now, const Share &share,
-                                              const routing::Team &team)
-{
-    const auto recent = std::count_if(share.admitted.begin(), share.admitted.end(),
-                                      [&](Instant at) { return now - at <= ShareWindow; });
-    const bool spendsAll = now - share.refusedAt < RefusalMemory;
-    const double perSecond = static_cast<double>(recent)
-        / std::chrono::duration<double>(ShareWindow).count() * (spendsAll ? SpentShare : 1.0);
     const double window = std::chrono::duration<double>(tolerance_.window).count();
-    const double spent = team.requestsPerSecond * window * (spendsAll ? 1.0 : UsualPart)
-        + (spendsAll ? team.burst : 0);
     const double tolerated =
         (team.requestsPerSecond * window + team.burst) * (1 + tolerance_.overshoot)
         + tolerance_.slack;
-    const double spare = std::max(tolerated * TolerancePart - spent, 0.0);
-    const double burst = std::min(spare / static_cast<double>(entryVms_), LargestLocalBurst);
-    // A fraction of a token starts as a whole one on that fraction of the VMs.
-    std::uniform_real_distribution<double> chance(0, 1);
-    const double level = burst >= 1 ? burst : (chance(random_) < burst ? 1.0 : 0.0);
-    return internal::TokenBucket(perSecond, std::max(burst, 1.0), level, now);
+    const double limit = tolerated * LocalPart / static_cast<double>(entryVms_);
+    const double whole = std::floor(limit);
+    const double rounded = share.roundsUpBelow < limit - whole ? whole + 1 : whole;
+    const auto recent = std::count_if(share.admitted.begin(), share.admitted.end(),
+                                      [&](Instant at) { return now - at < tolerance_.window; });
+    if (static_cast<double>(recent) >= rounded) {
+        return false;
+    }
+    noteAdmitted(now, team.name);
+    return true;
+}
+
+void LocalChooser::noteFirst(Instant now, const std::string &service)
+{
+    std::deque<Instant> &firsts = repeats_[service].firsts;
+    firsts.push_back(now);
+    dropBefore(firsts, now - RepeatWindow);
+}
+
+bool LocalChooser::takeRepeat(Instant now, const std::string &service)
+{
+    Repeats &known = repeats_[service];
+    dropBefore(known.firsts, now - RepeatWindow);
+    dropBefore(known.repeats, now - RepeatWindow);
+    const double allowed = RepeatRatio * static_cast<double>(known.firsts.size());
+    if (static_cast<double>(known.repeats.size()) + 1 > allowed) {
+        return false;
+    }
+    known.repeats.push_back(now);
+    return true;
 }
 
-const KnownServer *LocalChooser::choose(Instant now, const Question &question,
+const KnownServer *LocalChooser::choose(Instant now, Duration viewAge, const Question &question,
                                         const std::map<std::string, KnownServer> &servers,
                                         const std::set<std::string> &zonesOut,
                                         const std::map<std::string, std::uint32_t> &inUse)
@@ -102,7 +110,7 @@
         double cost = jitter(random_);
         cost += used == inUse.end() ? 0 : used->second;
         cost += info.zone == question.zone ? 0 : CostOfOtherZone;
-        cost += server.suspected ? CostOfSuspicion : 0;
+        cost += server.suspected && viewAge < SuspicionMemory ? CostOfSuspicion : 0;
         if (best == nullptr || cost < bestCost) {
             best = &server;
             bestCost = cost;
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -224,6 +224,11 @@
     }
 }
 
+void Scheduler::noteSpentElsewhere(Instant now, const std::string &team, std::uint32_t count)
+{
+    rates_->spentElsewhere(now, team, count);
+}
+
 // ---- asking ----
 
 void Scheduler::ask(Instant now, Question question)
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -21,14 +21,13 @@
 
 #include "result/result.h"
 #include "routing/routing.h"
-#include "scheduler/internal/tokenbucket.h"
+
 #include "timer/timer.h"
 
 #include <cstdint>
 #include <deque>
 #include <map>
 #include <memory>
-#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -191,6 +190,9 @@
     void setHeldElsewhere(Instant now, const std::string &vm,
                           const std::map<std::string, std::uint32_t> &slotsByServer);
 
+    // Requests of a team that a VM let through without a leader count against the team's rate.
+    void noteSpentElsewhere(Instant now, const std::string &team, std::uint32_t count);
+
     void ask(Instant now, Question question);
     void withdraw(Instant now, const QuestionKey &key);
     // Ends the use of a slot. Unknown slots are ignored: messages come late or twice.
@@ -296,13 +298,19 @@
 
     // Entry VMs that share the limits, and what is tolerated of all of them together.
     void setSharing(std::size_t entryVms, const RateTolerance &tolerance);
-    // Notes what the leader answered, to know this VM's share of the team's rate.
+    // Notes a request that the leader let through.
     void noteAdmitted(Instant now, const std::string &team);
-    void noteRefused(Instant now, const std::string &team);
-    // Takes a token of the team's share, if there is one. A team without a limit always has one.
+    // Returns whether one more request of the team may start. What this VM let through in any
+    // window, with the leader or without, stays below its even part of what is tolerated of all
+    // VMs, so that the bound holds whatever the others do.
     bool admit(Instant now, const routing::Team &team);
-    // Returns the server for `question`, or nullptr. `inUse`: this VM's requests by server.
-    const KnownServer *choose(Instant now, const Question &question,
+    // Notes the first try of a request, whoever granted it.
+    void noteFirst(Instant now, const std::string &service);
+    // Takes one of the few repeats that this VM may send without a leader.
+    bool takeRepeat(Instant now, const std::string &service);
+    // Returns the server for `question`, or nullptr. `viewAge`: time since the leader was heard;
+    // its suspicions count for a while only. `inUse`: this VM's requests by server.
+    const KnownServer *choose(Instant now, Duration viewAge, const Question &question,
                               const std::map<std::string, KnownServer> &servers,
                               const std::set<std::string> &zonesOut,
                               const std::map<std::string, std::uint32_t> &inUse);
@@ -310,18 +318,25 @@
 private:
     struct Share
     {
+        // Within the last window.
         std::deque<Instant> admitted;
-        Instant refusedAt;
-        // Set while this VM admits by itself.
-        std::optional<internal::TokenBucket> bucket;
+        // A limit that is no whole number is rounded up on that fraction of the VMs, drawn anew for
+        // each window.
+        double roundsUpBelow = 0;
+        Instant drawnAt;
     };
 
-    internal::TokenBucket makeShare(Instant now, const Share &share, const routing::Team &team);
+    struct Repeats
+    {
+        std::deque<Instant> firsts;
+        std::deque<Instant> repeats;
+    };
 
     std::mt19937_64 random_;
     std::size_t entryVms_ = 1;
     RateTolerance tolerance_;
     std::map<std::string, Share> shares_;
+    std::map<std::string, Repeats> repeats_;
 };
 
 } // namespace daisyhaven::scheduler
--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -238,6 +238,24 @@
     EXPECT_EQ(fleet.ask(question).grants.size(), 1U);
 }
 
+// What VMs let through without a leader is owed to the leader that comes back.
+TEST(Rates, WhatWasSpentElsewhereIsOwed)
+{
+    Fleet fleet;
+    fleet.addServers(5, 5);
+    fleet.setTeams({ { "shops", { "k" }, std::nullopt, 20, 10 } });
+    fleet.scheduler.noteSpentElsewhere(fleet.now, "shops", 30);
+    const auto granted = [&] {
+        Question question = fleet.question();
+        question.team = "shops";
+        return !fleet.ask(question).grants.empty();
+    };
+    fleet.advance(Milliseconds(900));
+    EXPECT_FALSE(granted());
+    fleet.advance(Milliseconds(200));
+    EXPECT_TRUE(granted());
+}
+
 TEST(Rates, ATokenOfARequestThatWasNotServedComesBack)
 {
     Fleet fleet;
@@ -658,9 +676,44 @@
     question.zone = "a";
     question.avoid = { "s2" };
     for (int i = 0; i < 20; ++i) {
-        EXPECT_EQ(chooser.choose(Start, question, servers, {}, {})->info.id, "s3");
+        EXPECT_EQ(chooser.choose(Start, Seconds(1), question, servers, {}, {})->info.id, "s3");
+    }
+    EXPECT_EQ(chooser.choose(Start, Seconds(1), question, servers, { "b" }, {}), nullptr);
+}
+
+// Cut off for long: servers that were suspected when the leader was last heard get work again, or a
+// few others would have to carry the service.
+TEST(WithoutLeader, SuspicionsOfAnOldViewAreForgotten)
+{
+    auto servers = knownServers();
+    servers["s0"].suspected = true;
+    LocalChooser chooser(1);
+    Question question;
+    question.service = "orders";
+    question.zone = "a";
+    const auto timesChosen = [&](Duration viewAge) {
+        int times = 0;
+        for (int i = 0; i < 200; ++i) {
+            times +=
+                chooser.choose(Start, viewAge, question, servers, {}, {})->info.id == "s0" ? 1 : 0;
+        }
+        return times;
+    };
+    EXPECT_EQ(timesChosen(Seconds(1)), 0);
+    EXPECT_GT(timesChosen(Seconds(5)), 40);
+}
+
+TEST(WithoutLeader, RepeatsAreASmallPartOfTheVmsOwnRequests)
+{
+    LocalChooser chooser(1);
+    int repeats = 0;
+    for (int i = 0; i < 100; ++i) {
+        const Instant now = Start + Milliseconds(50 * i);
+        chooser.noteFirst(now, "orders");
+        repeats += chooser.takeRepeat(now, "orders") ? 1 : 0;
     }
-    EXPECT_EQ(chooser.choose(Start, question, servers, { "b" }, {}), nullptr);
+    EXPECT_EQ(repeats, 10);
+    EXPECT_FALSE(chooser.takeRepeat(Start + Seconds(5), "photos"));
 }
 
 struct ShareCase
