--- a/src/gateway/slotclient.cpp
+++ b/src/gateway/slotclient.cpp
@@ -51,7 +51,8 @@
 {
     const std::uint64_t ticket = ++lastTicket_;
     question.key = { vm_, incarnation_, ticket };
-    pending_[ticket] = { std::move(question), std::move(callback), localChoiceAt(question), false };
+    const Instant localChoice = localChoiceAt(question);
+    pending_[ticket] = { std::move(question), std::move(callback), localChoice, false };
     if (leaderIsTrusted()) {
         askLeader(ticket);
     } else {
