Downloads are idempotent requests with a large response

Cause: every kind but idempotent and upload was taken for non-idempotent, so downloads were never retried, and a kind that is not known was taken for another. Change: RouteKind::Download; an unknown kind is refused with its name and the route's.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -253,7 +253,7 @@
 
 scheduler::SlotRequest Exchange::makeSlotRequest(bool retry) const
 {
-    const bool idempotent = route_->kind == routing::RouteKind::Idempotent;
+    const bool idempotent = routing::isIdempotent(route_->kind);
     scheduler::SlotRequest slotRequest;
     slotRequest.requestId = requestId_;
     slotRequest.service = service_;
@@ -263,7 +263,7 @@
         ? *team_->priority * RoutePriorityCount + route_->priority
         : route_->priority;
     slotRequest.idempotent = idempotent;
-    slotRequest.largeBody = route_->kind == routing::RouteKind::Upload;
+    slotRequest.largeBody = routing::hasLargeBody(route_->kind);
     slotRequest.isRetry = retry;
     slotRequest.hasRateToken = hasRateToken_;
     slotRequest.deadline = deadline_;
@@ -351,7 +351,7 @@
     request.framing = head_.framing;
     request.contentLength = head_.contentLength;
     request.requestId = requestId_;
-    request.idempotent = route_->kind == routing::RouteKind::Idempotent;
+    request.idempotent = routing::isIdempotent(route_->kind);
     http::Headers replaced;
     replaced.add(names.deadlineMs, "");
     replaced.add(names.expectedServer, "");
@@ -443,7 +443,7 @@
 // `ran`: the request may have run in the last attempt.
 bool Exchange::mayRetry(bool ran) const
 {
-    const bool idempotent = route_->kind == routing::RouteKind::Idempotent;
+    const bool idempotent = routing::isIdempotent(route_->kind);
     const bool allowed = (!ran || idempotent) && sink_ != nullptr && bodyRetained_;
     const bool inTime = deadline_ - context_.now() > MinTimeForRetry;
     return allowed && inTime && sentAttempts_ < route_->maxAttempts
@@ -653,8 +653,7 @@
         return;
     }
     if (stage_ == Stage::CallingBackend) {
-        const bool continueWithoutCaller =
-            route_->kind != routing::RouteKind::Idempotent && bodyForwarded_;
+        const bool continueWithoutCaller = !routing::isIdempotent(route_->kind) && bodyForwarded_;
         if (continueWithoutCaller) {
             return;
         }
@@ -740,8 +739,7 @@
     context_.metrics.observe(
         "daisyhaven_request_seconds",
         { { "kind",
-            route_ != nullptr && route_->kind == routing::RouteKind::Idempotent ? "idempotent"
-                                                                                : "other" } },
+            route_ != nullptr && routing::isIdempotent(route_->kind) ? "idempotent" : "other" } },
         std::chrono::duration<double>(context_.now() - startedAt_).count());
 }
 
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -26,13 +26,27 @@
 
 namespace daisyhaven::routing {
 
-// Whether a request may be retried after it was sent to a backend server.
+// Whether a request may be retried after it was sent to a backend server, and which of its messages
+// is large.
 enum class RouteKind : std::uint8_t {
     Idempotent, // may run more than once
     NonIdempotent, // runs at most once
-    Upload, // like NonIdempotent, with a large body
+    Upload, // like NonIdempotent, with a large request body
+    Download, // like Idempotent, with a large response body
 };
 
+// Returns whether a request of this kind may run more than once.
+constexpr bool isIdempotent(RouteKind kind)
+{
+    return kind == RouteKind::Idempotent || kind == RouteKind::Download;
+}
+
+// Returns whether the request or the response of this kind has a large body.
+constexpr bool hasLargeBody(RouteKind kind)
+{
+    return kind == RouteKind::Upload || kind == RouteKind::Download;
+}
+
 // One of the services among which a route splits its requests, with its weight.
 struct WeightedService
 {
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -105,7 +105,7 @@
     std::string route;
     std::uint32_t priority = 1;
     bool idempotent = false;
-    // The request has a large body, so a server in the same zone is preferred.
+    // The request or its response has a large body, so a server in the same zone is preferred.
     bool largeBody = false;
     // An earlier attempt was sent, so this one counts against the retry budget.
     bool isRetry = false;
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -13,7 +13,8 @@
 ["r1","shop.example","/status/","idempotent",1500,600,2,[{"service":"s1","weight":90},
 {"service":"s2","weight":10}],2,false,null],
 ["r2","shop.example","/orders/","non_idempotent",1500,600,1,null,2,true,"s1"],
-["r3","shop.example","/photos/","upload",null,600,1,null,2,false,"s2"]]},
+["r3","shop.example","/photos/","upload",null,600,1,null,2,false,"s2"],
+["r4","shop.example","/calendars/","download",null,600,1,null,2,false,"s2"]]},
 "services":{"columns":["name","healthCheckPath","maxConnections","protocol","tls","coldStartS",
 "coldPerS"],"rows":[["s1","/health",390,"h1",false,3.0,9.2],["s2","/health",390,"h1",false,3.0,9.2]]},
 "limits":{"maxHeaderBytes":16384,"maxBodyBytes":1000,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
@@ -40,6 +41,8 @@
     const routing::Route *photo = decoded.findRoute("shop.example", "/photos/7");
     EXPECT_EQ(photo->kind, routing::RouteKind::Upload);
     EXPECT_FALSE(photo->timeout.has_value());
+    const routing::Route *calendar = decoded.findRoute("shop.example", "/calendars/7");
+    EXPECT_EQ(calendar->kind, routing::RouteKind::Download);
     EXPECT_EQ(decoded.findService("s1")->coldStartRequestsPerSecond, 9.2);
     EXPECT_EQ(decoded.findTeamByKey("key-2")->requestsPerSecond, 58);
     EXPECT_EQ(decoded.limits().maxBodyBytes, 1000U);
@@ -47,6 +50,18 @@
               12U);
 }
 
+TEST(Configuration, UnknownRouteKindIsReportedWithItsRoute)
+{
+    std::string text = Document;
+    const std::string_view known = "\"download\"";
+    text.replace(text.find(known), known.size(), "\"telepathy\"");
+    const auto read = attempt([&] { return parseConfiguration(text); });
+    const auto *failure = std::get_if<Failure>(&read);
+    ASSERT_NE(failure, nullptr);
+    EXPECT_EQ(failure->code, ResultCode::DeclarationInvalid);
+    EXPECT_EQ(failure->detail, "route r4: unknown kind \"telepathy\"");
+}
+
 struct Replacement
 {
     const char *name;
