A planned stop delivers responses that callers are still receiving

A download whose last bytes are in the socket buffer was cut. Change: connections without an exchange are closed gracefully, and one that is closing counts as busy. http_test reads a response of 4 MB that way.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -32,12 +32,13 @@
     bool isBusy() const
     {
         return exchange_ != nullptr || callerDisconnected_ || connection_->hasPendingOutput()
-            || connection_->isReadingMessage();
+            || connection_->isReadingMessage() || connection_->isClosing();
     }
     bool hasActiveExchange() const { return exchange_ != nullptr || callerDisconnected_; }
     bool isReadingMessage() const { return connection_->isReadingMessage(); }
     Instant lastReceived() const { return connection_->lastReceived(); }
-    void close() { connection_->abort(); }
+    void abort() { connection_->abort(); }
+    void closeGracefully() { connection_->closeGracefully(); }
 
     void sendHead(int status, const http::Headers &headers, http::Framing framing,
                   std::uint64_t length) override;
@@ -135,6 +136,7 @@
         const routing::CallerLimits limits = table ? table->limits() : routing::CallerLimits {};
         const bool closeIdle = stoppingSince_ && now - *stoppingSince_ > StopAcceptingDelay;
         std::vector<std::shared_ptr<CallerSession>> expired;
+        std::vector<std::shared_ptr<CallerSession>> idle;
         for (const auto &[id, session] : sessions_) {
             if (session->hasActiveExchange()) {
                 continue;
@@ -144,13 +146,18 @@
                 session->isReadingMessage() && sinceLastReceived > limits.headerTimeout;
             const bool idleTimedOut =
                 !session->isReadingMessage() && sinceLastReceived > limits.idleTimeout;
-            const bool shuttingDown = closeIdle && !session->isBusy();
-            if (headerTimedOut || idleTimedOut || shuttingDown) {
+            if (headerTimedOut || idleTimedOut) {
                 expired.push_back(session);
+            } else if (closeIdle && !session->isBusy()) {
+                idle.push_back(session);
             }
         }
         for (const auto &session : expired) {
-            session->close();
+            session->abort();
+        }
+        // The caller may not have received its last response completely.
+        for (const auto &session : idle) {
+            session->closeGracefully();
         }
         if (closeIdle && sessions_.empty()) {
             finishShutdown();
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -142,8 +142,14 @@
     // Ends the response. The next request is read if the connection is persistent; otherwise the
     // connection closes after the output has been written.
     void endResponse();
-    // Resets the connection, so that the caller can tell that the response is incomplete.
+    // Resets the connection, so that the caller can tell that the response is incomplete. Output
+    // that the caller has not received yet is lost.
     void abort();
+    // Closes the connection once the caller has received all output. The `closed` callback runs
+    // when the caller has closed its side or a timeout has passed.
+    void closeGracefully();
+    // Returns true from the start of a graceful close until the `closed` callback.
+    bool isClosing() const;
     // Makes the connection close after the current response.
     void closeAfterResponse();
     bool isOutputFull() const;
--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -6,9 +6,11 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include <array>
+#include <cerrno>
 
 namespace daisyhaven::http {
 namespace {
@@ -207,6 +209,62 @@
     EXPECT_TRUE(received);
 }
 
+// ---- closing ----
+
+// Sends a response that is larger than the socket buffers and closes the connection gracefully
+// while the caller is still reading.
+TEST(GracefulClose, DeliversResponseThatCallerHasNotReadYet)
+{
+    constexpr std::size_t ResponseBytes = 4UL * 1024 * 1024;
+    constexpr int CallerBufferBytes = 4096;
+    const std::unique_ptr<event_base, EventBaseDeleter> base(event_base_new());
+    std::unique_ptr<ServerConnection> server;
+    bool closed = false;
+    auto listener = attempt([&] {
+        return Listener::open(base.get(), testAddress(), [&](int socket) {
+            ServerConnection::Callbacks callbacks;
+            callbacks.head = [](const RequestHead &) {};
+            callbacks.end = [] {};
+            callbacks.closed = [&] { closed = true; };
+            server = std::make_unique<ServerConnection>(base.get(), socket, callbacks);
+        });
+    });
+    ASSERT_TRUE(std::holds_alternative<std::unique_ptr<Listener>>(listener));
+    const int caller = socket(AF_INET, SOCK_STREAM, 0);
+    setsockopt(caller, SOL_SOCKET, SO_RCVBUF, &CallerBufferBytes, sizeof(CallerBufferBytes));
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(testAddress().port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ASSERT_EQ(connect(caller, reinterpret_cast<sockaddr *>(&address), sizeof(address)), 0);
+    evutil_make_socket_nonblocking(caller);
+    const std::string request = "GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n";
+    ASSERT_EQ(write(caller, request.data(), request.size()), static_cast<ssize_t>(request.size()));
+    while (!server || server->isReadingMessage() || server->lastReceived() == Instant()) {
+        event_base_loop(base.get(), EVLOOP_ONCE);
+    }
+    server->sendHead(200, {}, Framing::Length, ResponseBytes);
+    server->sendBody(std::string(ResponseBytes, 'x'));
+    server->endResponse();
+    server->closeGracefully();
+    EXPECT_TRUE(server->isClosing());
+    std::size_t received = 0;
+    std::array<char, 65536> buffer {};
+    ssize_t length = 1;
+    for (int iteration = 0; iteration < 100000 && length != 0; ++iteration) {
+        event_base_loop(base.get(), EVLOOP_NONBLOCK);
+        length = read(caller, buffer.data(), buffer.size());
+        ASSERT_TRUE(length >= 0 || errno == EAGAIN) << "after " << received << " bytes";
+        received += length > 0 ? static_cast<std::size_t>(length) : 0;
+    }
+    EXPECT_EQ(length, 0) << "the connection did not end";
+    EXPECT_GT(received, ResponseBytes);
+    close(caller);
+    while (!closed) {
+        event_base_loop(base.get(), EVLOOP_ONCE);
+    }
+}
+
 // ---- fragmented messages ----
 
 // Sends `message` to a server connection in fragments that are split at `splitOffsets`, and returns
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -157,6 +157,8 @@
         }
     }
 
+    bool isClosing() const { return closing_; }
+
     void abort()
     {
         closing_ = true;
@@ -332,6 +334,16 @@
     impl_->abort();
 }
 
+void ServerConnection::closeGracefully()
+{
+    impl_->closeAfterOutput();
+}
+
+bool ServerConnection::isClosing() const
+{
+    return impl_->isClosing();
+}
+
 void ServerConnection::closeAfterResponse()
 {
     impl_->closeAfterResponse();
