--- a/src/operator/commands.cpp
+++ b/src/operator/commands.cpp
@@ -30,6 +30,7 @@
   daisyhaven status --fleet=FILE [--as=NAME] [--json]
   daisyhaven explain request REQUEST FILE...
   daisyhaven explain server SERVER FILE...
+  daisyhaven explain seconds FILE...
   daisyhaven -h | --help
 
 Options:
@@ -388,6 +389,9 @@
     if (options.at("request").asBool()) {
         return explainRequest(options.at("REQUEST").asString(), files, std::cout);
     }
+    if (options.at("seconds").asBool()) {
+        return explainSeconds(files, std::cout);
+    }
     return explainServer(options.at("SERVER").asString(), files, std::cout);
 }
 
--- a/src/operator/explain_test.cpp
+++ b/src/operator/explain_test.cpp
@@ -81,6 +81,27 @@
     }
 }
 
+TEST_F(Explain, SumsLostRequestsByCauseAndSortsSecondsByLoss)
+{
+    std::ofstream(files_[0]) << R"({"timeMs":5000,"process":"edge-1","name":"LeaderLost"}
+{"timeMs":6100,"process":"edge-1","name":"RequestLate","request":"r1","sends":"1"}
+{"timeMs":7100,"process":"edge-1","name":"RequestRefused","request":"r2","result":"QueueFull","detail":"waiting=17"}
+{"timeMs":7900,"process":"edge-1","name":"RequestRefused","request":"r3","result":"QueueFull","detail":"waiting=4"}
+{"timeMs":8000,"process":"edge-1","name":"RequestRetried","request":"r4"}
+)";
+    std::ofstream(files_[1]).flush();
+    std::ostringstream out;
+    const auto result = attempt([&] { return explainSeconds(files_, out); });
+    EXPECT_EQ(std::get<int>(result), 0);
+    const std::string text = out.str();
+    EXPECT_NE(text.find("  2  RequestRefused QueueFull: waiting=#\n"), std::string::npos) << text;
+    EXPECT_NE(text.find("  1  late, sends=1\n"), std::string::npos) << text;
+    const std::size_t worst = text.find("second 2 of the logs: 2 lost");
+    ASSERT_NE(worst, std::string::npos) << text;
+    EXPECT_LT(worst, text.find("second 1 of the logs: 0.5 lost"));
+    EXPECT_EQ(text.find("second 3"), std::string::npos);
+}
+
 TEST_F(Explain, MissingFileReturnsFailure)
 {
     std::ostringstream out;
--- a/src/operator/operator.h
+++ b/src/operator/operator.h
@@ -89,4 +89,8 @@
 Result<int> explainServer(const std::string &server, const std::vector<std::string> &files,
                           std::ostream &out);
 
+// Sums the requests that were refused, failed or late by cause, and prints the causes of the
+// seconds in which most were lost. Returns the exit code. Errors: as for explainRequest().
+Result<int> explainSeconds(const std::vector<std::string> &files, std::ostream &out);
+
 } // namespace daisyhaven::operations
