Scheduler: cheaper selection, and the floor holds while requests are lost

Changes: capacity is checked before beliefs, failure probabilities are kept for 10 ms, servers that a request names are marked once, suspicion is a flag; a service that loses over 5% of its requests uses suspected servers too until the floor is reached.

--- a/src/scheduler/internal/serverhealth.h
+++ b/src/scheduler/internal/serverhealth.h
@@ -33,12 +33,16 @@
     double slowness() const { return slowness_; }
 
 private:
+    double computeFailureProbability(Instant now) const;
     void applyLikelihoodRatio(Instant now, double likelihoodRatio);
     double recordPathFailure(Instant now, const std::string &vm);
     bool recentlyServedOtherVm(Instant now, const std::string &vm) const;
 
     double failureProbability_;
     Instant updatedAt_;
+    // Result of failureProbability() at `cachedAt_`; selections compare every server of a service.
+    mutable double cachedProbability_ = 0;
+    mutable Instant cachedAt_;
     double slowness_ = 1;
     double shedShare_ = 0;
     Instant lastSuccessAt_;
--- a/src/scheduler/internal/state.h
+++ b/src/scheduler/internal/state.h
@@ -1,6 +1,7 @@
 // State that the Scheduler keeps for services and servers; private to the package.
 #pragma once
 
+#include "scheduler/internal/eventrate.h"
 #include "scheduler/internal/serverhealth.h"
 #include "scheduler/internal/tokenbucket.h"
 #include "scheduler/internal/waitingqueue.h"
@@ -88,8 +89,14 @@
     Instant lastProbeAt;
     // The server shed a request and receives none until then.
     Instant shedBackoffUntil;
+    // As of the last SuspicionChange.
+    bool suspected = false;
     // Another server responds at this server's address.
     bool addressReassigned = false;
+    // Number of the last selection for a request that excluded this server, and of the last one for
+    // a VM that holds an idle connection to it.
+    std::uint64_t excludedInSelection = 0;
+    std::uint64_t connectedInSelection = 0;
 
     std::uint32_t inFlightCount() const { return grantedSlots + externalSlots; }
     bool isWarmingUp(Instant now) const
@@ -113,11 +120,22 @@
     double microsecondsPerRequest = 150'000;
     double coldRequestsPerSecond = 0;
     Duration coldStartDuration { 0 };
+    // Fraction of the recent requests that were lost.
+    double lostShare(Instant now) const
+    {
+        const double lost = lostRate.perSecond(now);
+        const double all = lost + answeredRate.perSecond(now);
+        return all > 0 ? lost / all : 0;
+    }
+
     // Updated by the last call of updateServerCounts().
     std::uint32_t usableSlots = 0;
     std::uint32_t serversInService = 0;
     // Too few servers are trusted, so the least suspected of the others are used as well.
     bool usesSuspectedServers = false;
+    // Requests that a server answered, and those that failed or were rejected.
+    EventRate answeredRate;
+    EventRate lostRate;
     // When the last idempotent request arrived.
     Instant lastIdempotentAt;
 };
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -22,6 +22,10 @@
 // If the trusted servers are fewer than this fraction of the floor, suspected servers are used as
 // well.
 constexpr double RelaxedFloorFraction = 0.7;
+// While a service loses more than this share of its requests, at least the floor of its servers
+// must receive requests in each window, even if their results were bad.
+constexpr double LossThresholdForFloor = 0.05;
+constexpr Milliseconds FloorWindow { 1600 };
 // A request that is not idempotent goes only to servers with a lower failure probability.
 constexpr double TrustThreshold = 0.12;
 constexpr double FailureCostWeight = 2.0;
@@ -231,7 +235,6 @@
     ServiceState &service = getOrCreateService(known->second->info.service);
     servers_.erase(known);
     service.servers.erase(id);
-    suspectedServers_.erase(id);
 }
 
 void Scheduler::restoreSuspicion(Instant now, const std::string &id)
@@ -343,8 +346,8 @@
 bool Scheduler::isEligible(Instant now, const ServiceState &service, ServerState &server,
                            const SlotRequest &request, bool hasWaitedLong) const
 {
-    const bool excluded = request.excludedServers.count(server.info.id) != 0;
-    if (excluded || !isInService(server) || !hasCapacity(now, server)) {
+    const bool excluded = server.excludedInSelection == lastSelection_;
+    if (excluded || !hasCapacity(now, server) || !isInService(server)) {
         return false;
     }
     const double limit =
@@ -366,7 +369,7 @@
     if (server.info.zone != request.zone) {
         cost += request.largeBody ? OtherZoneCostForLargeBody : OtherZoneCost;
     }
-    if (request.connectedServers.count(server.info.id) == 0) {
+    if (server.connectedInSelection != lastSelection_) {
         cost += NewConnectionCost;
     }
     const Duration idleTime = now - server.lastGrantAt;
@@ -390,7 +393,24 @@
     return mayProbe && server.inFlightCount() == 0 && now >= due
         && server.health.failureProbability(now) >= maxFailureProbability(request)
         && isInService(server) && hasCapacity(now, server)
-        && request.excludedServers.count(server.info.id) == 0;
+        && server.excludedInSelection != lastSelection_;
+}
+
+void Scheduler::markNamedServers(const SlotRequest &request)
+{
+    ++lastSelection_;
+    for (const std::string &id : request.excludedServers) {
+        const auto server = servers_.find(id);
+        if (server != servers_.end()) {
+            server->second->excludedInSelection = lastSelection_;
+        }
+    }
+    for (const std::string &id : request.connectedServers) {
+        const auto server = servers_.find(id);
+        if (server != servers_.end()) {
+            server->second->connectedInSelection = lastSelection_;
+        }
+    }
 }
 
 ServerState *Scheduler::pickServer(Instant now, ServiceState &service, const SlotRequest &request,
@@ -400,6 +420,7 @@
     const bool probesAllowed =
         !request.idempotent || !service.retryBudget.isNearlySpent(now, limits_);
     std::uniform_real_distribution<double> jitter(0, CostJitter);
+    markNamedServers(request);
     ServerState *best = nullptr;
     double bestCost = 0;
     for (auto &[id, server] : service.servers) {
@@ -519,6 +540,9 @@
     if (tokenTaken && !request.hasRateToken) {
         rateLimiter_->returnToken(now, request.team);
     }
+    if (tokenTaken) {
+        getOrCreateService(request.service).lostRate.record(now);
+    }
     const Duration wait = std::clamp<Duration>(retryAfter, MinRetryAfter, MaxRetryAfter);
     actions_.emplace_back(Rejection { request.key, code, wait, std::move(reason) });
 }
@@ -562,6 +586,7 @@
     freeSlot(slotId);
     ServiceState &service = getOrCreateService(grantedSlot.service);
     if (outcome == Outcome::Success) {
+        service.answeredRate.record(now);
         const auto latencyMicroseconds = static_cast<double>(latency.count());
         service.microsecondsPerRequest +=
             (latencyMicroseconds - service.microsecondsPerRequest) * LatencyWeight;
@@ -571,6 +596,11 @@
     } else if (outcome == Outcome::NotSent) {
         rateLimiter_->returnToken(now, grantedSlot.team);
     }
+    const bool lost =
+        outcome != Outcome::Success && outcome != Outcome::Shed && !isInconclusive(outcome);
+    if (lost) {
+        service.lostRate.record(now);
+    }
     const auto known = servers_.find(grantedSlot.serverId);
     if (known != servers_.end() && !isInconclusive(outcome)) {
         ServerState &server = *known->second;
@@ -599,15 +629,10 @@
 {
     const double failureProbability = server.health.failureProbability(now);
     const bool suspected = failureProbability >= SuspicionThreshold;
-    const bool changed = suspected != (suspectedServers_.count(server.info.id) != 0);
-    if (!changed) {
+    if (suspected == server.suspected) {
         return;
     }
-    if (suspected) {
-        suspectedServers_.insert(server.info.id);
-    } else {
-        suspectedServers_.erase(server.info.id);
-    }
+    server.suspected = suspected;
     actions_.emplace_back(SuspicionChange { server.info.id, suspected, failureProbability, cause });
 }
 
@@ -659,18 +684,22 @@
 {
     std::uint32_t trusted = 0;
     std::uint32_t inService = 0;
+    std::uint32_t reached = 0;
     std::uint32_t slots = 0;
     for (auto &[id, server] : service.servers) {
         if (!isInService(*server)) {
             continue;
         }
         ++inService;
+        reached += now - server->lastGrantAt < FloorWindow ? 1 : 0;
         const double failureProbability = server->health.failureProbability(now);
         trusted += failureProbability < TrustThreshold ? 1 : 0;
         slots += failureProbability < SuspicionThreshold ? server->info.slots : 0;
     }
     service.serversInService = inService;
-    service.usesSuspectedServers = trusted < limits_.floorShare * inService * RelaxedFloorFraction;
+    const double floor = limits_.floorShare * inService;
+    const bool belowFloor = reached < floor && service.lostShare(now) > LossThresholdForFloor;
+    service.usesSuspectedServers = trusted < floor * RelaxedFloorFraction || belowFloor;
     service.usableSlots = slots;
 }
 
@@ -690,7 +719,8 @@
 
 bool Scheduler::isSuspected(const std::string &server) const
 {
-    return suspectedServers_.count(server) != 0;
+    const auto known = servers_.find(server);
+    return known != servers_.end() && known->second->suspected;
 }
 
 std::set<std::string> Scheduler::busyTeams(Instant now) const
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -258,6 +258,9 @@
                        const SlotRequest &request, bool hasWaitedLong) const;
     double selectionCost(Instant now, const internal::ServerState &server,
                          const SlotRequest &request) const;
+    // Marks the servers that the request names, so that a selection need not search for each
+    // server's id.
+    void markNamedServers(const SlotRequest &request);
     bool isEligible(Instant now, const internal::ServiceState &service,
                     internal::ServerState &server, const SlotRequest &request,
                     bool hasWaitedLong) const;
@@ -294,8 +297,8 @@
     std::unique_ptr<internal::TeamRateLimiter> rateLimiter_;
     std::unique_ptr<internal::CrashRecords> crashRecords_;
     std::uint64_t lastSlotId_ = 0;
+    std::uint64_t lastSelection_ = 0;
     std::vector<Action> actions_;
-    std::set<std::string> suspectedServers_;
 };
 
 // A team is busy if it requests more than this fraction of what it may send.
--- a/src/scheduler/serverhealth.cpp
+++ b/src/scheduler/serverhealth.cpp
@@ -31,6 +31,8 @@
 constexpr double SlowLatencyRatio = 2.5;
 constexpr double SlownessWeight = 0.1;
 constexpr double ShedWeight = 0.15;
+// Without results the probability changes by about a thousandth in this time.
+constexpr Milliseconds CacheLifetime { 10 };
 constexpr double MaxProbability = 0.995;
 constexpr double MinProbability = 0.002;
 // Further failures that one VM reports for the same server within this time more likely have their
@@ -55,6 +57,17 @@
 }
 
 double ServerHealth::failureProbability(Instant now) const
+{
+    const bool cached =
+        cachedAt_ != Instant() && now >= cachedAt_ && now < cachedAt_ + CacheLifetime;
+    if (!cached) {
+        cachedProbability_ = computeFailureProbability(now);
+        cachedAt_ = now;
+    }
+    return cachedProbability_;
+}
+
+double ServerHealth::computeFailureProbability(Instant now) const
 {
     const double seconds = std::chrono::duration<double>(now - updatedAt_).count();
     const double remaining = std::exp(-(FailureRate + RecoveryRate) * std::max(seconds, 0.0));
@@ -64,10 +77,11 @@
 
 void ServerHealth::applyLikelihoodRatio(Instant now, double likelihoodRatio)
 {
-    const double prior = failureProbability(now);
+    const double prior = computeFailureProbability(now);
     const double odds = prior / (1 - prior) * likelihoodRatio;
     failureProbability_ = std::clamp(odds / (1 + odds), MinProbability, MaxProbability);
     updatedAt_ = now;
+    cachedAt_ = Instant();
 }
 
 bool ServerHealth::recentlyServedOtherVm(Instant now, const std::string &vm) const
