Relays: entry VMs without a path to the leader reach it through other entry VMs

Change: the leader names random VMs in advance; a VM that lost the leader for 0.8 s asks them whether they can forward its calls. Views behind a relay carry no servers. Followed by: views are no longer sent at once for each suspicion, and held longer with many VMs (the leader answered a view request of each VM for each change).

--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -3,6 +3,7 @@
 #include "coordination/internal/membershipcontroller.h"
 #include "coordination/internal/viewchangelog.h"
 #include "coordination/internal/viewcodec.h"
+#include "coordination/internal/vmregistry.h"
 #include "observe/observe.h"
 
 #include <algorithm>
@@ -15,10 +16,14 @@
 namespace {
 
 constexpr Milliseconds TickPeriod { 20 };
-// Time for which a view request is held open (long polling) while nothing changes.
+// Time for which a view request is held open (long polling) while nothing changes. With many VMs it
+// grows up to the maximum, so that the leader responds to a bounded number of requests.
 constexpr Milliseconds LongPollTimeout { 250 };
-// Changes of suspicions are published in batches, at most one per period.
-constexpr Milliseconds SuspicionPublishPeriod { 100 };
+constexpr Milliseconds MaxLongPollTimeout { 400 };
+constexpr Milliseconds LongPollTimeoutPerVm { 1 };
+// Changes of servers are published in batches, at most one per period. Changes of suspicions wait
+// for the next response: VMs use them only without a leader.
+constexpr Milliseconds ServerPublishPeriod { 100 };
 constexpr Milliseconds MembershipPeriod { 100 };
 // Fraction of its burst with which a team starts under a new leader. The previous leader may have
 // admitted a whole burst and the rate; a third of a burst on top stays within the overshoot that is
@@ -35,12 +40,6 @@
 constexpr Milliseconds RejoinTimeout { 2000 };
 // A server that has sent no announcement for this long is removed.
 constexpr Seconds ServerRetention { 30 };
-// An entry VM that has sent no request for this long holds no slots and no connection.
-constexpr Seconds VmRetention { 12 };
-// An entry VM that has sent a request within this time is counted in daisyhaven_entry_vms.
-constexpr Seconds VmRecentWindow { 3 };
-// An entry VM that has sent no request for this long picks servers without the leader.
-constexpr Milliseconds VmUnreachableAfter { 1000 };
 
 // Returns the initial members. The initial ID of a replica is derived from its address,
 // which the other initial members know.
@@ -196,7 +195,7 @@
             { "daisyhaven_control_members",
               static_cast<double>(runner_.replica().members().size()) },
             { "daisyhaven_servers_known", static_cast<double>(directory_.entries().size()) },
-            { "daisyhaven_entry_vms", static_cast<double>(countRecentVms()) },
+            { "daisyhaven_entry_vms", static_cast<double>(entryVms_.recentCount(timers_.now())) },
             { "daisyhaven_questions_waiting",
               scheduler_ ? static_cast<double>(scheduler_->queuedRequestCount()) : 0 },
             { "daisyhaven_slots_granted",
@@ -208,6 +207,9 @@
     // A view request that is held open until the view changes or `respondBy` has passed.
     struct Watcher
     {
+        std::string vm;
+        bool wantsRelays = false;
+        bool relayed = false;
         std::uint64_t epoch = 0;
         std::uint64_t sequence = 0;
         std::uint64_t documentIndex = 0;
@@ -355,6 +357,7 @@
         scheduler_ = std::make_unique<scheduler::Scheduler>(epoch, options_.limits,
                                                             std::random_device {}(), now);
         viewChanges_ = ViewChangeLog();
+        publishedSequence_ = 0;
         applyRoutingTable(
             { BurstFractionAfterFailover, runner_.replica().leaderlessTimeBeforeElection() });
         scheduler_->setZonesOutOfService(now, state_.zonesOutOfService());
@@ -446,17 +449,17 @@
         scheduler_->tick(now);
         directory_.removeExpired(now, ServerRetention,
                                  [this](const std::string &id) { onServerRemoved(id); });
-        removeExpiredVms(now);
-        reserveRatesForUnreachableVms(now);
+        entryVms_.removeExpired(
+            now, [&](const std::string &vm) { scheduler_->setExternalSlots(now, vm, {}); });
+        scheduler_->setUnreachableVmShare(now, entryVms_.unreachableShare(now));
         persistChangedServers(now);
         executeActions();
-        const bool suspicionsDue =
-            suspicionsChanged_ && now - suspicionsPublishedAt_ > SuspicionPublishPeriod;
-        if (suspicionsDue) {
-            suspicionsChanged_ = false;
-            suspicionsPublishedAt_ = now;
+        if (serversChanged_ && now - serversPublishedAt_ >= ServerPublishPeriod) {
+            serversChanged_ = false;
+            serversPublishedAt_ = now;
+            publishedSequence_ = viewChanges_.sequence();
         }
-        respondToWatchers(now, suspicionsDue);
+        respondToWatchers(now);
     }
 
     // Proposes a command with the changed servers; no caller waits for its commit.
@@ -480,38 +483,6 @@
         propose(std::move(command), [](const ChangeOutcome &) {});
     }
 
-    void removeExpiredVms(Instant now)
-    {
-        for (auto vm = lastContactByVm_.begin(); vm != lastContactByVm_.end();) {
-            if (now - vm->second <= VmRetention) {
-                ++vm;
-                continue;
-            }
-            scheduler_->setExternalSlots(now, vm->first, {});
-            vm = lastContactByVm_.erase(vm);
-        }
-    }
-
-    void reserveRatesForUnreachableVms(Instant now)
-    {
-        if (lastContactByVm_.empty()) {
-            return;
-        }
-        const auto unreachable =
-            std::count_if(lastContactByVm_.begin(), lastContactByVm_.end(),
-                          [&](const auto &vm) { return now - vm.second > VmUnreachableAfter; });
-        scheduler_->setUnreachableVmShare(
-            now, static_cast<double>(unreachable) / static_cast<double>(lastContactByVm_.size()));
-    }
-
-    std::size_t countRecentVms() const
-    {
-        const Instant now = timers_.now();
-        return static_cast<std::size_t>(
-            std::count_if(lastContactByVm_.begin(), lastContactByVm_.end(),
-                          [&](const auto &vm) { return now - vm.second < VmRecentWindow; }));
-    }
-
     void onServerChanged(const std::string &id, bool logChange)
     {
         const directory::ServerEntry *entry = directory_.find(id);
@@ -528,7 +499,7 @@
         }
         updateScheduler(id);
         viewChanges_.recordChange(id);
-        scheduleViewUpdate();
+        serversChanged_ = true;
     }
 
     void updateScheduler(const std::string &id)
@@ -545,7 +516,7 @@
         if (state_.servers().count(id) != 0) {
             serversToPersist_.insert(id);
         }
-        scheduleViewUpdate();
+        serversChanged_ = true;
     }
 
     // ---- internal calls ----
@@ -581,13 +552,32 @@
             });
     }
 
-    void handleViewRequest(const wire::FleetViewRequest &request,
-                           std::function<void(std::variant<wire::FleetViewReply, Failure>)> respond)
+    using ViewResponder = std::function<void(std::variant<wire::FleetViewReply, Failure>)>;
+
+    Duration longPollTimeout() const
+    {
+        return std::clamp<Duration>(LongPollTimeoutPerVm * entryVms_.size(), LongPollTimeout,
+                                    MaxLongPollTimeout);
+    }
+
+    Watcher makeWatcher(Instant now, const wire::FleetViewRequest &request,
+                        ViewResponder respond) const
+    {
+        return { request.vm(),
+                 request.wants_relays(),
+                 request.relayed(),
+                 request.epoch(),
+                 request.sequence(),
+                 request.document_index(),
+                 now + longPollTimeout(),
+                 std::move(respond) };
+    }
+
+    void handleViewRequest(const wire::FleetViewRequest &request, ViewResponder respond)
     {
         const Instant now = timers_.now();
         if (!isLeading()) {
-            Watcher watcher { request.epoch(), request.sequence(), request.document_index(),
-                              now + LongPollTimeout, std::move(respond) };
+            Watcher watcher = makeWatcher(now, request, std::move(respond));
             if (leaderRedirect().leader || watcher.documentIndex < state_.lastChangeIndex()) {
                 watcher.respond(makeRedirectView(watcher.documentIndex));
             } else {
@@ -595,7 +585,7 @@
             }
             return;
         }
-        lastContactByVm_[request.vm()] = now;
+        entryVms_.recordContact(now, { request.vm(), request.peer_address(), request.relayed() });
         for (const wire::TeamSpending &spent : request.spent()) {
             scheduler_->recordExternalAdmissions(now, spent.team(), spent.count());
         }
@@ -607,8 +597,7 @@
             scheduler_->setExternalSlots(now, request.vm(), held);
             executeActions();
         }
-        Watcher watcher { request.epoch(), request.sequence(), request.document_index(),
-                          now + LongPollTimeout, std::move(respond) };
+        Watcher watcher = makeWatcher(now, request, std::move(respond));
         if (isOutdated(watcher)) {
             watcher.respond(makeView(now, watcher));
             return;
@@ -618,7 +607,9 @@
 
     bool isOutdated(const Watcher &watcher) const
     {
-        return watcher.epoch != scheduler_->epoch() || watcher.sequence < viewChanges_.sequence()
+        const bool needsServers =
+            watcher.epoch != scheduler_->epoch() || watcher.sequence < publishedSequence_;
+        return (needsServers && !watcher.relayed)
             || watcher.documentIndex < state_.lastChangeIndex();
     }
 
@@ -650,37 +641,52 @@
         }
     }
 
-    wire::FleetViewReply makeView(Instant now, const Watcher &watcher) const
+    wire::FleetViewReply makeView(Instant now, const Watcher &watcher)
     {
         wire::FleetViewReply reply;
         reply.set_leader(true);
         reply.set_epoch(scheduler_->epoch());
         reply.set_sequence(viewChanges_.sequence());
-        reply.set_entry_vms(static_cast<std::uint32_t>(lastContactByVm_.size()));
+        reply.set_entry_vms(static_cast<std::uint32_t>(entryVms_.size()));
         for (const std::string &team : scheduler_->busyTeams(now)) {
             reply.add_busy_teams(team);
         }
+        if (watcher.wantsRelays) {
+            for (std::string &relay : entryVms_.pickRelays(now, watcher.vm, random_)) {
+                reply.add_relays(std::move(relay));
+            }
+        }
+        addDocument(&reply, watcher.documentIndex);
+        if (watcher.relayed) {
+            reply.set_servers_omitted(true);
+        } else {
+            addServers(now, watcher, &reply);
+        }
+        return reply;
+    }
+
+    // Adds the servers that changed since the VM's last view, or all servers.
+    void addServers(Instant now, const Watcher &watcher, wire::FleetViewReply *reply) const
+    {
         const bool incremental =
             watcher.epoch == scheduler_->epoch() && viewChanges_.covers(watcher.sequence);
-        reply.set_complete(!incremental);
+        reply->set_complete(!incremental);
         if (!incremental) {
-            addMembers(&reply);
+            addMembers(reply);
         }
         const std::uint64_t since = incremental ? watcher.sequence : 0;
         for (const std::string &id : viewChanges_.changedSince(since)) {
             const directory::ServerEntry *entry = directory_.find(id);
             if (entry != nullptr) {
-                *reply.add_changed() =
+                *reply->add_changed() =
                     toWire(now, toKnownServer(*entry, scheduler_->isSuspected(id)));
             }
         }
         if (incremental) {
             for (const std::string &id : viewChanges_.removedSince(since)) {
-                reply.add_removed(id);
+                reply->add_removed(id);
             }
         }
-        addDocument(&reply, watcher.documentIndex);
-        return reply;
     }
 
     // Schedules one update to the VMs that covers all changes of this event loop iteration.
@@ -693,16 +699,15 @@
         timers_.post([this] {
             updateScheduled_ = false;
             if (isLeading()) {
-                respondToWatchers(timers_.now(), true);
+                respondToWatchers(timers_.now());
             }
         });
     }
 
-    void respondToWatchers(Instant now, bool sendChanges)
+    void respondToWatchers(Instant now)
     {
         for (auto watcher = watchers_.begin(); watcher != watchers_.end();) {
-            const bool due = now >= watcher->respondBy || (sendChanges && isOutdated(*watcher));
-            if (!due) {
+            if (now < watcher->respondBy && !isOutdated(*watcher)) {
                 ++watcher;
                 continue;
             }
@@ -797,7 +802,6 @@
                    { "cause", change.cause },
                    { "epoch", scheduler_->epoch() } });
         viewChanges_.recordChange(change.serverId);
-        suspicionsChanged_ = true;
     }
 
     // ---- control group membership ----
@@ -867,12 +871,15 @@
     std::map<std::uint64_t, ChangeCallback> pendingProposals_;
     std::map<scheduler::SlotRequestKey, SlotResponder> slotRequests_;
     std::list<Watcher> watchers_;
-    std::map<std::string, Instant> lastContactByVm_;
+    VmRegistry entryVms_;
+    std::mt19937_64 random_ { std::random_device {}() };
     std::set<std::string> serversToPersist_;
     Instant serversPersistedAt_;
     bool updateScheduled_ = false;
-    bool suspicionsChanged_ = false;
-    Instant suspicionsPublishedAt_;
+    // Servers changed after `publishedSequence_`, up to which every VM is told at once.
+    bool serversChanged_ = false;
+    Instant serversPublishedAt_;
+    std::uint64_t publishedSequence_ = 0;
     TimerHandle tick_;
     TimerHandle membershipTick_;
     TimerHandle joinTick_;
--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -70,6 +70,8 @@
     // Internal address of this VM if it is a control VM; the client sends no requests to it.
     std::optional<peer::Address> ownAddress;
     routing::DocumentParser documentParser = nullptr;
+    // Address at which this VM serves as a relay. A VM without one uses no relays either.
+    std::optional<peer::Address> relayAddress = std::nullopt;
 };
 
 struct LeaderClientCallbacks
@@ -105,7 +107,10 @@
     const FleetView &view() const;
     // Returns true if the leader sent a message within the last LeaderTimeout.
     bool hasLeader() const;
+    // Returns the address to which calls for the leader are sent: its own or that of a relay.
     std::optional<peer::Address> leader() const;
+    // Returns true if the leader is reached through a relay.
+    bool usesRelay() const;
     // Returns the time since the last message from a leader, or Duration::max() if there was none.
     Duration timeSinceLeaderContact() const;
     // Returns for how long the leader has sent nothing while a call to it is pending; zero if no
@@ -123,6 +128,24 @@
     std::unique_ptr<Impl> impl_;
 };
 
+// Forwards calls of entry VMs that are partitioned from the control group to the leader. The
+// callers use it like a leader, so slots, rates and results stay exact while only this VM reaches
+// the control group. Calls are forwarded once at most: a VM that uses a relay is none itself.
+class LeaderRelay
+{
+public:
+    // Registers the handlers at `server`. All arguments must outlive the relay.
+    LeaderRelay(TimerService &timers, peer::Server &server, peer::ClientPool &clients,
+                const LeaderClient &leader);
+    LeaderRelay(const LeaderRelay &) = delete;
+    LeaderRelay &operator=(const LeaderRelay &) = delete;
+    ~LeaderRelay();
+
+private:
+    class Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
 struct ControlOptions
 {
     std::string vm;
--- a/src/coordination/coordination_test.cpp
+++ b/src/coordination/coordination_test.cpp
@@ -469,6 +469,70 @@
     EXPECT_TRUE(runUntil([&] { return client.view().servers.empty(); }, Seconds(1)));
 }
 
+// A VM that is partitioned from the control group reaches the leader through another entry VM. The
+// stand-in plays the leader until the partition: it names the relay and then disappears.
+TEST_F(ControlTaskTest, PartitionedClientUsesARelay)
+{
+    startAll();
+    ASSERT_TRUE(put(7, "seven"));
+    const peer::Address relayAddress = addressOf(4);
+    peer::ClientPool relayClients(base_.get(), timers_, credentials());
+    LeaderClient relayLeader(
+        timers_, relayClients,
+        { "entry-1", 1, { addressOf(0) }, std::nullopt, &readEmptyTable, relayAddress }, {});
+    peer::Server relayServer(base_.get(), credentials());
+    const LeaderRelay relay(timers_, relayServer, relayClients, relayLeader);
+    const auto listening = attempt([&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(relayServer.listen(relayAddress));
+        return true;
+    });
+    ASSERT_TRUE(std::holds_alternative<bool>(listening));
+    relayLeader.start();
+
+    auto standIn = std::make_unique<peer::Server>(base_.get(), credentials());
+    standIn->registerTypedHandler<wire::FleetViewRequest, wire::FleetViewReply>(
+        peer::Method::FleetView, peer::Role::Vm,
+        [&](const peer::Caller &, const wire::FleetViewRequest &request, auto respond) {
+            wire::FleetViewReply reply;
+            reply.set_leader(true);
+            reply.set_complete(true);
+            if (request.wants_relays()) {
+                reply.add_relays(relayAddress.toString());
+            }
+            respond(reply);
+        });
+    const auto standInListening = attempt([&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(standIn->listen(addressOf(5)));
+        return true;
+    });
+    ASSERT_TRUE(std::holds_alternative<bool>(standInListening));
+    peer::ClientPool clients(base_.get(), timers_, credentials());
+    LeaderClient client(
+        timers_, clients,
+        { "entry-2", 1, { addressOf(5) }, std::nullopt, &readEmptyTable, addressOf(6) }, {});
+    client.start();
+    ASSERT_TRUE(runUntil([&] { return client.hasLeader() && relayLeader.hasLeader(); }));
+    EXPECT_FALSE(client.usesRelay());
+    standIn.reset();
+
+    ASSERT_TRUE(runUntil([&] { return client.usesRelay() && client.hasLeader(); }, Seconds(3)));
+    ASSERT_TRUE(runUntil([&] { return client.view().configurationVersion == 7; }, Seconds(1)));
+    std::optional<std::variant<wire::SlotAnswer, Failure>> answer;
+    wire::SlotQuestion question;
+    question.set_vm("entry-2");
+    question.set_service("orders");
+    question.set_deadline_ms(500);
+    client.requestSlot(question, Seconds(1), [&](const auto &result) { answer = result; });
+    ASSERT_TRUE(runUntil([&] { return answer.has_value(); }, Seconds(2)));
+    ASSERT_TRUE(std::holds_alternative<wire::SlotAnswer>(*answer));
+    // The leader's scheduler rejected the request, since no server has announced itself.
+    EXPECT_NE(std::get<wire::SlotAnswer>(*answer).result(), 0U);
+    EXPECT_GT(std::get<wire::SlotAnswer>(*answer).epoch(), 0U);
+    // The control VMs are probed meanwhile, so the client returns to the direct way.
+    client.setSeeds({ addressOf(1) });
+    EXPECT_TRUE(runUntil([&] { return client.hasLeader() && !client.usesRelay(); }, Seconds(4)));
+}
+
 // Guards against clients that send additional view requests while one is pending.
 TEST_F(ControlTaskTest, ClientHasAtMostOnePendingViewRequest)
 {
--- a/src/coordination/leaderclient.cpp
+++ b/src/coordination/leaderclient.cpp
@@ -1,4 +1,5 @@
 #include "coordination/coordination.h"
+#include "coordination/internal/relaylist.h"
 #include "coordination/internal/viewcodec.h"
 #include "observe/observe.h"
 
@@ -15,6 +16,11 @@
 // A control VM that knows of no leader holds the request open; one that does responds at once.
 constexpr Milliseconds ProbePeriod { 100 };
 constexpr Milliseconds ReleaseTimeout { 2000 };
+// A lost leader is usually replaced within this time, so relays are tried only after it.
+constexpr Milliseconds RelayProbeDelay { 800 };
+constexpr std::size_t RelaysProbedAtOnce = 2;
+// While a relay is used, control VMs are probed this often to return to the direct way.
+constexpr Milliseconds DirectProbePeriod { 1000 };
 
 } // namespace
 
@@ -52,6 +58,7 @@
     const FleetView &view() const { return view_; }
     bool hasLeader() const { return leader_ && timers_.now() - lastContactAt_ < LeaderTimeout; }
     std::optional<peer::Address> leader() const { return leader_; }
+    bool usesRelay() const { return leader_ && !isControlAddress(*leader_); }
 
     Duration timeSinceLeaderContact() const
     {
@@ -98,6 +105,10 @@
         request.set_epoch(view_.epoch);
         request.set_sequence(view_.sequence);
         request.set_document_index(view_.documentIndex);
+        if (options_.relayAddress) {
+            request.set_peer_address(options_.relayAddress->toString());
+            request.set_wants_relays(relays_.isOutdated(timers_.now()));
+        }
         if (callbacks_.externalSlots) {
             for (const auto &[server, count] : callbacks_.externalSlots(view_.epoch)) {
                 auto *held = request.add_held();
@@ -132,7 +143,7 @@
         if (!active_) {
             return;
         }
-        if (leader_ && !viewRequestPending_) {
+        if (leader_ && viewRequestedFrom_ != leader_) {
             requestView();
         }
         const Instant now = timers_.now();
@@ -145,18 +156,74 @@
                        { "silentMs", millisecondsSinceContact(now) } });
         }
         if (unresponsive && now >= nextProbeAt_) {
-            probeControlVms(now);
+            nextProbeAt_ = now + ProbePeriod;
+            probeControlVms();
+            probeRelays(now);
+        } else if (usesRelay() && now >= nextProbeAt_) {
+            nextProbeAt_ = now + DirectProbePeriod;
+            probeControlVms();
         }
     }
 
+    bool isControlAddress(const peer::Address &address) const
+    {
+        return controlAddresses_.count(address) != 0;
+    }
+
     std::int64_t millisecondsSinceContact(Instant now) const
     {
         return lastContactAt_ == Instant() ? -1 : (now - lastContactAt_).count() / 1000;
     }
 
-    void probeControlVms(Instant now)
+    void probeRelays(Instant now)
+    {
+        const bool electionMayBeInProgress =
+            !lastPathWasRelay_ && now - lastContactAt_ < RelayProbeDelay;
+        if (electionMayBeInProgress) {
+            return;
+        }
+        for (const peer::Address &relay : relays_.takeNext(RelaysProbedAtOnce)) {
+            if (!isControlAddress(relay)) {
+                probeRelay(relay);
+            }
+        }
+    }
+
+    void probeRelay(const peer::Address &relay)
+    {
+        if (!pendingProbes_.insert(relay).second) {
+            return;
+        }
+        wire::FleetViewRequest request;
+        request.set_vm(options_.vm);
+        request.set_relay_probe(true);
+        clients_.call<wire::FleetViewReply>(
+            relay, peer::Method::FleetView, request, ProbeTimeout,
+            [this, relay](const peer::CallResult<wire::FleetViewReply> &result) {
+                pendingProbes_.erase(relay);
+                if (const auto *reply = std::get_if<wire::FleetViewReply>(&result)) {
+                    handleRelayProbe(relay, *reply);
+                }
+            });
+    }
+
+    void handleRelayProbe(const peer::Address &relay, const wire::FleetViewReply &reply)
+    {
+        for (const std::string &text : reply.relays()) {
+            if (const auto referred = parsePeerAddress(text)) {
+                relays_.tryNext(*referred);
+            }
+        }
+        const bool needsPath = !hasLeader() && !usesRelay() && active_;
+        if (reply.can_relay() && needsPath) {
+            leader_ = relay;
+            lastPathWasRelay_ = true;
+            requestView();
+        }
+    }
+
+    void probeControlVms()
     {
-        nextProbeAt_ = now + ProbePeriod;
         for (const peer::Address &address : controlAddresses_) {
             const bool skip = options_.ownAddress && address == *options_.ownAddress;
             if (!skip) {
@@ -183,13 +250,15 @@
 
     void requestView()
     {
-        viewRequestPending_ = true;
         const peer::Address address = *leader_;
+        viewRequestedFrom_ = address;
         const wire::FleetViewRequest request = makeViewRequest();
         clients_.call<wire::FleetViewReply>(
             address, peer::Method::FleetView, request, ViewTimeout,
             [this, address, request](const peer::CallResult<wire::FleetViewReply> &result) {
-                viewRequestPending_ = false;
+                if (viewRequestedFrom_ == address) {
+                    viewRequestedFrom_.reset();
+                }
                 const auto *reply = std::get_if<wire::FleetViewReply>(&result);
                 if (reply != nullptr) {
                     handleViewReply(address, request, *reply);
@@ -228,27 +297,56 @@
         if (reply.epoch() < view_.epoch || !active_) {
             return;
         }
+        const bool otherPathWorks = leader_ && leader_ != address && hasLeader();
+        if (otherPathWorks && !isControlAddress(address)) {
+            return;
+        }
         if (leader_ != address || leaderLossLogged_) {
             leaderLossLogged_ = false;
             logEvent(Event::LeaderFound,
-                     { { "leader", address.toString() }, { "epoch", reply.epoch() } });
+                     { { "leader", address.toString() },
+                       { "epoch", reply.epoch() },
+                       { "relay", isControlAddress(address) ? "no" : "yes" } });
         }
         leader_ = address;
+        lastPathWasRelay_ = usesRelay();
+        applyRelays(reply);
         lastContactAt_ = timers_.now();
         applyServers(reply);
-        if (!viewRequestPending_) {
+        if (viewRequestedFrom_ != leader_) {
             requestView();
         }
     }
 
+    void applyRelays(const wire::FleetViewReply &reply)
+    {
+        std::vector<peer::Address> relays;
+        for (const std::string &text : reply.relays()) {
+            if (const auto relay = parsePeerAddress(text)) {
+                relays.push_back(*relay);
+            }
+        }
+        if (!relays.empty()) {
+            relays_.replace(timers_.now(), std::move(relays));
+        }
+    }
+
     std::optional<peer::Address> addControlAddress(const std::string &text)
     {
         if (text.empty()) {
             return std::nullopt;
         }
+        const auto address = parsePeerAddress(text);
+        if (address) {
+            controlAddresses_.insert(*address);
+        }
+        return address;
+    }
+
+    static std::optional<peer::Address> parsePeerAddress(const std::string &text)
+    {
         const auto address = attempt([&] { return peer::parseAddress(text); });
         if (const auto *valid = std::get_if<peer::Address>(&address)) {
-            controlAddresses_.insert(*valid);
             return *valid;
         }
         logEvent(Event::PeerRejected, { { "detail", "not a valid peer address: " + text } });
@@ -257,6 +355,9 @@
 
     void applyServers(const wire::FleetViewReply &reply)
     {
+        if (reply.servers_omitted()) {
+            return;
+        }
         const Instant now = timers_.now();
         const bool incremental = reply.epoch() == view_.epoch && !reply.complete();
         if (incremental && reply.sequence() < view_.sequence) {
@@ -316,7 +417,10 @@
     Instant lastContactAt_;
     Instant nextProbeAt_;
     bool active_ = true;
-    bool viewRequestPending_ = false;
+    // The address at which a view request is pending.
+    std::optional<peer::Address> viewRequestedFrom_;
+    RelayList relays_;
+    bool lastPathWasRelay_ = false;
     bool leaderLossLogged_ = false;
     TimerHandle maintenance_;
 };
@@ -359,6 +463,11 @@
     return impl_->leader();
 }
 
+bool LeaderClient::usesRelay() const
+{
+    return impl_->usesRelay();
+}
+
 Duration LeaderClient::timeSinceLeaderContact() const
 {
     return impl_->timeSinceLeaderContact();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -67,16 +67,17 @@
 class Gateway::Impl
 {
 public:
-    Impl(event_base *base, TimerService &timers, peer::ClientPool &clients, Metrics &metrics,
-         GatewayOptions options)
+    Impl(event_base *base, TimerService &timers, peer::Server &server, peer::ClientPool &clients,
+         Metrics &metrics, GatewayOptions options)
         : base_(base), timers_(timers), metrics_(metrics), options_(std::move(options)),
           leader_(timers, clients,
                   { options_.vm, incarnation_, options_.controlSeeds, std::nullopt,
-                    options_.documentParser },
+                    options_.documentParser, options_.relayAddress },
                   { nullptr,
                     [this](std::uint64_t epoch) { return slots_.slotsHeldOutsideEpoch(epoch); },
                     [this] { return slots_.unreportedLocalAdmissions(); },
                     [this](const auto &spent) { slots_.markAdmissionsReported(spent); } }),
+          relay_(timers, server, clients, leader_),
           slots_(timers, leader_, metrics, options_.vm, incarnation_, options_.rateTolerance),
           pool_(base, timers), servicePicker_(std::random_device {}()), context_ {
               base_, timers_, metrics_, options_, leader_, slots_, pool_, servicePicker_
@@ -180,6 +181,7 @@
         metrics_.setGauge("daisyhaven_configuration_version", {},
                           static_cast<double>(view.configurationVersion));
         metrics_.setGauge("daisyhaven_has_leader", {}, leader_.hasLeader() ? 1 : 0);
+        metrics_.setGauge("daisyhaven_uses_relay", {}, leader_.usesRelay() ? 1 : 0);
     }
 
     void finishShutdown()
@@ -197,6 +199,7 @@
     GatewayOptions options_;
     std::uint64_t incarnation_ = static_cast<std::uint64_t>(wallClockMicroseconds());
     coordination::LeaderClient leader_;
+    coordination::LeaderRelay relay_;
     SlotClient slots_;
     BackendConnectionPool pool_;
     routing::WeightedServicePicker servicePicker_;
@@ -301,10 +304,10 @@
 Gateway::~Gateway() = default;
 
 Result<std::unique_ptr<Gateway>> Gateway::create(event_base *base, TimerService &timers,
-                                                 peer::ClientPool &clients, Metrics &metrics,
-                                                 GatewayOptions options)
+                                                 peer::Server &server, peer::ClientPool &clients,
+                                                 Metrics &metrics, GatewayOptions options)
 {
-    auto impl = std::make_unique<Impl>(base, timers, clients, metrics, std::move(options));
+    auto impl = std::make_unique<Impl>(base, timers, server, clients, metrics, std::move(options));
     BOOST_LEAF_CHECK(impl->start());
     return std::unique_ptr<Gateway>(new Gateway(std::move(impl)));
 }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -56,15 +56,18 @@
     // Time between the shutdown request and the termination of the process.
     Duration gracePeriod = Seconds(6);
     scheduler::RateTolerance rateTolerance;
+    // Address of the server that is passed to Gateway::create(), as other VMs reach it.
+    peer::Address relayAddress;
 };
 
 class Gateway
 {
 public:
-    // Errors: SettingsInvalid if the listen address cannot be bound.
+    // `server` receives the calls of VMs that use this one as a relay to the leader. Errors:
+    // SettingsInvalid if the listen address cannot be bound.
     static Result<std::unique_ptr<Gateway>> create(event_base *base, TimerService &timers,
-                                                   peer::ClientPool &clients, Metrics &metrics,
-                                                   GatewayOptions options);
+                                                   peer::Server &server, peer::ClientPool &clients,
+                                                   Metrics &metrics, GatewayOptions options);
     Gateway(const Gateway &) = delete;
     Gateway &operator=(const Gateway &) = delete;
     ~Gateway();
