--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -24,6 +24,8 @@
 // Changes of servers are published in batches, at most one per period. Changes of suspicions wait
 // for the next response: VMs use them only without a leader.
 constexpr Milliseconds ServerPublishPeriod { 100 };
+// The remaining cold starts in an encoded view are too long by up to this time.
+constexpr Milliseconds EncodedServersLifetime { 100 };
 constexpr Milliseconds MembershipPeriod { 100 };
 // Fraction of its burst with which a team starts under a new leader. The previous leader may have
 // admitted a whole burst and the rate; a third of a burst on top stays within the overshoot that is
@@ -214,7 +216,16 @@
         std::uint64_t sequence = 0;
         std::uint64_t documentIndex = 0;
         Instant respondBy;
-        std::function<void(std::variant<wire::FleetViewReply, Failure>)> respond;
+        peer::Responder respond;
+    };
+
+    // All servers of a view in wire format.
+    struct EncodedServers
+    {
+        std::uint64_t epoch = 0;
+        std::uint64_t sequence = 0;
+        Instant encodedAt;
+        std::string bytes;
     };
 
     using SlotResponder = std::function<void(std::variant<wire::SlotAnswer, Failure>)>;
@@ -427,7 +438,7 @@
         std::list<Watcher> watchers;
         watchers.swap(watchers_);
         for (Watcher &watcher : watchers) {
-            watcher.respond(makeRedirectView(watcher.documentIndex));
+            watcher.respond(makeRedirectView(watcher.documentIndex).SerializeAsString());
         }
     }
 
@@ -526,9 +537,15 @@
         using peer::Caller;
         using peer::Method;
         using peer::Role;
-        server_.registerTypedHandler<wire::FleetViewRequest, wire::FleetViewReply>(
+        server_.registerHandler(
             Method::FleetView, Role::Vm,
-            [this](const Caller &, const wire::FleetViewRequest &request, auto respond) {
+            [this](const Caller &, const std::string &body, const peer::Responder &respond) {
+                wire::FleetViewRequest request;
+                if (!request.ParseFromString(body)) {
+                    respond(Failure { ResultCode::PeerProtocol,
+                                      "request body is not a valid message" });
+                    return;
+                }
                 handleViewRequest(request, respond);
             });
         server_.registerTypedHandler<wire::SlotQuestion, wire::SlotAnswer>(
@@ -552,8 +569,6 @@
             });
     }
 
-    using ViewResponder = std::function<void(std::variant<wire::FleetViewReply, Failure>)>;
-
     Duration longPollTimeout() const
     {
         return std::clamp<Duration>(LongPollTimeoutPerVm * entryVms_.size(), LongPollTimeout,
@@ -561,25 +576,21 @@
     }
 
     Watcher makeWatcher(Instant now, const wire::FleetViewRequest &request,
-                        ViewResponder respond) const
+                        const peer::Responder &respond) const
     {
-        return { request.vm(),
-                 request.wants_relays(),
-                 request.relayed(),
-                 request.epoch(),
-                 request.sequence(),
-                 request.document_index(),
-                 now + longPollTimeout(),
-                 std::move(respond) };
+        return {
+            request.vm(),       request.wants_relays(),   request.relayed(),       request.epoch(),
+            request.sequence(), request.document_index(), now + longPollTimeout(), respond
+        };
     }
 
-    void handleViewRequest(const wire::FleetViewRequest &request, ViewResponder respond)
+    void handleViewRequest(const wire::FleetViewRequest &request, const peer::Responder &respond)
     {
         const Instant now = timers_.now();
         if (!isLeading()) {
-            Watcher watcher = makeWatcher(now, request, std::move(respond));
+            Watcher watcher = makeWatcher(now, request, respond);
             if (leaderRedirect().leader || watcher.documentIndex < state_.lastChangeIndex()) {
-                watcher.respond(makeRedirectView(watcher.documentIndex));
+                watcher.respond(makeRedirectView(watcher.documentIndex).SerializeAsString());
             } else {
                 watchers_.push_back(std::move(watcher));
             }
@@ -597,9 +608,9 @@
             scheduler_->setExternalSlots(now, request.vm(), held);
             executeActions();
         }
-        Watcher watcher = makeWatcher(now, request, std::move(respond));
+        Watcher watcher = makeWatcher(now, request, respond);
         if (isOutdated(watcher)) {
-            watcher.respond(makeView(now, watcher));
+            watcher.respond(encodeView(now, watcher));
             return;
         }
         watchers_.push_back(std::move(watcher));
@@ -641,7 +652,8 @@
         }
     }
 
-    wire::FleetViewReply makeView(Instant now, const Watcher &watcher)
+    // Returns an encoded FleetViewReply.
+    std::string encodeView(Instant now, const Watcher &watcher)
     {
         wire::FleetViewReply reply;
         reply.set_leader(true);
@@ -659,22 +671,40 @@
         addDocument(&reply, watcher.documentIndex);
         if (watcher.relayed) {
             reply.set_servers_omitted(true);
-        } else {
-            addServers(now, watcher, &reply);
+            return reply.SerializeAsString();
         }
-        return reply;
+        const bool incremental =
+            watcher.epoch == scheduler_->epoch() && viewChanges_.covers(watcher.sequence);
+        if (incremental) {
+            addChangedServers(now, watcher.sequence, &reply);
+            return reply.SerializeAsString();
+        }
+        addMembers(&reply);
+        const EncodedServers &servers = encodeAllServers(now);
+        reply.set_complete(true);
+        reply.set_sequence(servers.sequence);
+        // The concatenation of two encoded messages is the encoding of the merged message.
+        return reply.SerializeAsString() + servers.bytes;
     }
 
-    // Adds the servers that changed since the VM's last view, or all servers.
-    void addServers(Instant now, const Watcher &watcher, wire::FleetViewReply *reply) const
+    // Encodes the servers of a complete view once for all VMs that ask at about the same time:
+    // after an election every VM does.
+    const EncodedServers &encodeAllServers(Instant now)
     {
-        const bool incremental =
-            watcher.epoch == scheduler_->epoch() && viewChanges_.covers(watcher.sequence);
-        reply->set_complete(!incremental);
-        if (!incremental) {
-            addMembers(reply);
+        const bool usable = encodedServers_.epoch == scheduler_->epoch()
+            && now - encodedServers_.encodedAt < EncodedServersLifetime;
+        if (!usable) {
+            wire::FleetViewReply reply;
+            addChangedServers(now, 0, &reply);
+            encodedServers_ = { scheduler_->epoch(), viewChanges_.sequence(), now,
+                                reply.SerializeAsString() };
         }
-        const std::uint64_t since = incremental ? watcher.sequence : 0;
+        return encodedServers_;
+    }
+
+    // Adds the servers that changed after sequence number `since`.
+    void addChangedServers(Instant now, std::uint64_t since, wire::FleetViewReply *reply) const
+    {
         for (const std::string &id : viewChanges_.changedSince(since)) {
             const directory::ServerEntry *entry = directory_.find(id);
             if (entry != nullptr) {
@@ -682,7 +712,7 @@
                     toWire(now, toKnownServer(*entry, scheduler_->isSuspected(id)));
             }
         }
-        if (incremental) {
+        if (since > 0) {
             for (const std::string &id : viewChanges_.removedSince(since)) {
                 reply->add_removed(id);
             }
@@ -711,7 +741,7 @@
                 ++watcher;
                 continue;
             }
-            watcher->respond(makeView(now, *watcher));
+            watcher->respond(encodeView(now, *watcher));
             watcher = watchers_.erase(watcher);
         }
     }
@@ -725,7 +755,7 @@
                 ++watcher;
                 continue;
             }
-            watcher->respond(makeRedirectView(watcher->documentIndex));
+            watcher->respond(makeRedirectView(watcher->documentIndex).SerializeAsString());
             watcher = watchers_.erase(watcher);
         }
     }
@@ -872,6 +902,7 @@
     std::map<scheduler::SlotRequestKey, SlotResponder> slotRequests_;
     std::list<Watcher> watchers_;
     VmRegistry entryVms_;
+    EncodedServers encodedServers_;
     std::mt19937_64 random_ { std::random_device {}() };
     std::set<std::string> serversToPersist_;
     Instant serversPersistedAt_;
--- a/src/gateway/slotclient.cpp
+++ b/src/gateway/slotclient.cpp
@@ -19,7 +19,7 @@
 constexpr Milliseconds InitialPathBackoff { 2000 };
 constexpr Milliseconds MaxPathBackoff { 8000 };
 constexpr Milliseconds LocalRetryAfter { 500 };
-constexpr std::size_t MaxConnectedReported = 16;
+constexpr std::size_t MaxConnectedReported = 32;
 
 std::uint32_t millisecondsUntil(Instant now, Instant until)
 {
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -32,9 +32,15 @@
 // The high weight sends requests that are not idempotent to servers with a recent success rather
 // than to the least loaded ones.
 constexpr double NonIdempotentFailureCostWeight = 40.0;
-constexpr double OtherZoneCost = 0.2;
-constexpr double OtherZoneCostForLargeBody = 0.35;
+constexpr double OtherZoneCost = 0.3;
+constexpr double OtherZoneCostForLargeBody = 1.0;
 constexpr double NewConnectionCost = 0.45;
+// Higher than for idempotent requests, because the differences in failure cost are higher too.
+constexpr double NonIdempotentNewConnectionCost = 1.0;
+// Idempotent requests prefer servers without a recent request, up to one second: they reveal a
+// failure that a non-idempotent request would otherwise meet first.
+constexpr double ExplorationBonusPerSecond = 0.5;
+constexpr double MaxExplorationSeconds = 1;
 constexpr double SlownessCostWeight = 0.25;
 // A healthy server without a request for this long is preferred to all others, since only results
 // reveal its health. Idempotent requests reach it first because they can be retried.
@@ -370,9 +376,13 @@
         cost += request.largeBody ? OtherZoneCostForLargeBody : OtherZoneCost;
     }
     if (server.connectedInSelection != lastSelection_) {
-        cost += NewConnectionCost;
+        cost += request.idempotent ? NewConnectionCost : NonIdempotentNewConnectionCost;
     }
     const Duration idleTime = now - server.lastGrantAt;
+    if (request.idempotent) {
+        const double idleSeconds = std::chrono::duration<double>(idleTime).count();
+        cost -= ExplorationBonusPerSecond * std::min(idleSeconds, MaxExplorationSeconds);
+    }
     if (idleTime > (request.idempotent ? IdleThreshold : NonIdempotentIdleThreshold)) {
         cost -= IdleServerBonus;
     }
