--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -16,11 +16,9 @@
 namespace {
 
 constexpr Milliseconds TickPeriod { 20 };
-// Time for which a view request is held open (long polling) while nothing changes. With many VMs it
-// grows up to the maximum, so that the leader responds to a bounded number of requests.
+// Time for which a view request is held open (long polling) while nothing changes. Replies that are
+// delayed on a busy link must still arrive within LeaderTimeout.
 constexpr Milliseconds LongPollTimeout { 250 };
-constexpr Milliseconds MaxLongPollTimeout { 400 };
-constexpr Milliseconds LongPollTimeoutPerVm { 1 };
 // Changes of servers are published in batches, at most one per period. Changes of suspicions wait
 // for the next response: VMs use them only without a leader.
 constexpr Milliseconds ServerPublishPeriod { 100 };
@@ -569,19 +567,13 @@
             });
     }
 
-    Duration longPollTimeout() const
+    static Watcher makeWatcher(Instant now, const wire::FleetViewRequest &request,
+                               const peer::Responder &respond)
     {
-        return std::clamp<Duration>(LongPollTimeoutPerVm * entryVms_.size(), LongPollTimeout,
-                                    MaxLongPollTimeout);
-    }
-
-    Watcher makeWatcher(Instant now, const wire::FleetViewRequest &request,
-                        const peer::Responder &respond) const
-    {
-        return {
-            request.vm(),       request.wants_relays(),   request.relayed(),       request.epoch(),
-            request.sequence(), request.document_index(), now + longPollTimeout(), respond
-        };
+        return { request.vm(),          request.wants_relays(),
+                 request.relayed(),     request.epoch(),
+                 request.sequence(),    request.document_index(),
+                 now + LongPollTimeout, respond };
     }
 
     void handleViewRequest(const wire::FleetViewRequest &request, const peer::Responder &respond)
--- a/src/coordination/leaderclient.cpp
+++ b/src/coordination/leaderclient.cpp
@@ -336,7 +336,7 @@
         if (text.empty()) {
             return std::nullopt;
         }
-        const auto address = parsePeerAddress(text);
+        auto address = parsePeerAddress(text);
         if (address) {
             controlAddresses_.insert(*address);
         }
--- a/src/operator/explainseconds.cpp
+++ b/src/operator/explainseconds.cpp
@@ -64,6 +64,7 @@
 void printCauses(std::ostream &out, const CauseCounts &counts, std::size_t limit)
 {
     std::vector<std::pair<std::size_t, std::string>> causes;
+    causes.reserve(counts.countByCause.size());
     for (const auto &[cause, count] : counts.countByCause) {
         causes.emplace_back(count, cause);
     }
@@ -93,6 +94,7 @@
     out << "lost requests by cause (refused, failed or late; of attempts, not of callers):\n";
     printCauses(out, total, total.countByCause.size());
     std::vector<std::pair<double, std::int64_t>> worst;
+    worst.reserve(bySecond.size());
     for (const auto &[second, counts] : bySecond) {
         worst.emplace_back(counts.lost, second);
     }
--- a/src/scheduler/widefleet_test.cpp
+++ b/src/scheduler/widefleet_test.cpp
@@ -61,7 +61,8 @@
                 episode.nextDrawAt = fleet_.now + toDuration(uniform() * 9000);
             }
         }
-        vms_.resize(static_cast<std::size_t>(wide.zones * wide.vmsPerZone));
+        vms_.resize(static_cast<std::size_t>(wide.zones)
+                    * static_cast<std::size_t>(wide.vmsPerZone));
     }
 
     void simulate(Duration length)
