Complete view cache, parsed rows and gray servers of tests get modules of their own

Behaviour is the same: views of deregistrations were published by tick() before as well, since a watcher counts as outdated only once the sequence is published.

--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -1,4 +1,5 @@
 #include "coordination/coordination.h"
+#include "coordination/internal/completeviewcache.h"
 #include "coordination/internal/durablestate.h"
 #include "coordination/internal/membershipcontroller.h"
 #include "coordination/internal/viewchangelog.h"
@@ -22,8 +23,6 @@
 // Changes of servers are published in batches, at most one per period. Changes of suspicions wait
 // for the next response: VMs use them only without a leader.
 constexpr Milliseconds ServerPublishPeriod { 100 };
-// The remaining cold starts in an encoded view are too long by up to this time.
-constexpr Milliseconds EncodedServersLifetime { 100 };
 constexpr Milliseconds MembershipPeriod { 100 };
 // Fraction of its burst with which a team starts under a new leader. The previous leader may have
 // admitted a whole burst and the rate; a third of a burst on top stays within the overshoot that is
@@ -217,15 +216,6 @@
         peer::Responder respond;
     };
 
-    // All servers of a view in wire format.
-    struct EncodedServers
-    {
-        std::uint64_t epoch = 0;
-        std::uint64_t sequence = 0;
-        Instant encodedAt;
-        std::string bytes;
-    };
-
     using SlotResponder = std::function<void(std::variant<wire::SlotAnswer, Failure>)>;
 
     bool isLeading() const { return scheduler_ != nullptr && runner_.canServeReads(); }
@@ -312,12 +302,14 @@
         case DurableState::Change::Document:
             logEvent(Event::ChangeAccepted, { { "version", state_.version() } });
             applyRoutingTable({});
+            scheduleViewUpdate();
             break;
         case DurableState::Change::Zones:
             logEvent(Event::ZoneChanged,
                      { { "zone", command.zone().availability_zone() },
                        { "out", command.zone().out() ? "yes" : "no" } });
             scheduler_->setZonesOutOfService(now, state_.zonesOutOfService());
+            scheduleViewUpdate();
             break;
         case DurableState::Change::Deregistrations:
             applyDeregistration({ command.departure().id(), command.departure().born(),
@@ -325,7 +317,6 @@
             break;
         }
         executeActions();
-        scheduleViewUpdate();
     }
 
     void applyDeregistration(const directory::Deregistration &deregistration)
@@ -436,7 +427,7 @@
         std::list<Watcher> watchers;
         watchers.swap(watchers_);
         for (Watcher &watcher : watchers) {
-            watcher.respond(makeRedirectView(watcher.documentIndex).SerializeAsString());
+            watcher.respond(encodeRedirectView(watcher.documentIndex));
         }
     }
 
@@ -535,17 +526,10 @@
         using peer::Caller;
         using peer::Method;
         using peer::Role;
-        server_.registerHandler(
+        server_.registerParsedHandler<wire::FleetViewRequest>(
             Method::FleetView, Role::Vm,
-            [this](const Caller &, const std::string &body, const peer::Responder &respond) {
-                wire::FleetViewRequest request;
-                if (!request.ParseFromString(body)) {
-                    respond(Failure { ResultCode::PeerProtocol,
-                                      "request body is not a valid message" });
-                    return;
-                }
-                handleViewRequest(request, respond);
-            });
+            [this](const Caller &, const wire::FleetViewRequest &request,
+                   const peer::Responder &respond) { handleViewRequest(request, respond); });
         server_.registerTypedHandler<wire::SlotQuestion, wire::SlotAnswer>(
             Method::AcquireSlot, Role::Vm,
             [this](const Caller &, const wire::SlotQuestion &request, auto respond) {
@@ -582,7 +566,7 @@
         if (!isLeading()) {
             Watcher watcher = makeWatcher(now, request, respond);
             if (leaderRedirect().leader || watcher.documentIndex < state_.lastChangeIndex()) {
-                watcher.respond(makeRedirectView(watcher.documentIndex).SerializeAsString());
+                watcher.respond(encodeRedirectView(watcher.documentIndex));
             } else {
                 watchers_.push_back(std::move(watcher));
             }
@@ -625,7 +609,8 @@
         }
     }
 
-    wire::FleetViewReply makeRedirectView(std::uint64_t knownIndex) const
+    // Returns an encoded FleetViewReply of a replica that doesn't lead.
+    std::string encodeRedirectView(std::uint64_t knownIndex) const
     {
         wire::FleetViewReply reply;
         reply.set_leader(false);
@@ -634,7 +619,7 @@
         }
         addMembers(&reply);
         addDocument(&reply, knownIndex);
-        return reply;
+        return reply.SerializeAsString();
     }
 
     void addMembers(wire::FleetViewReply *reply) const
@@ -669,29 +654,23 @@
             watcher.epoch == scheduler_->epoch() && viewChanges_.covers(watcher.sequence);
         if (incremental) {
             addChangedServers(now, watcher.sequence, &reply);
+            addRemovedServers(watcher.sequence, &reply);
             return reply.SerializeAsString();
         }
         addMembers(&reply);
-        const EncodedServers &servers = encodeAllServers(now);
+        const EncodedServers &servers =
+            completeViewCache_.get(now, scheduler_->epoch(), [&] { return encodeAllServers(now); });
         reply.set_complete(true);
         reply.set_sequence(servers.sequence);
         // The concatenation of two encoded messages is the encoding of the merged message.
         return reply.SerializeAsString() + servers.bytes;
     }
 
-    // Encodes the servers of a complete view once for all VMs that ask at about the same time:
-    // after an election every VM does.
-    const EncodedServers &encodeAllServers(Instant now)
+    EncodedServers encodeAllServers(Instant now) const
     {
-        const bool usable = encodedServers_.epoch == scheduler_->epoch()
-            && now - encodedServers_.encodedAt < EncodedServersLifetime;
-        if (!usable) {
-            wire::FleetViewReply reply;
-            addChangedServers(now, 0, &reply);
-            encodedServers_ = { scheduler_->epoch(), viewChanges_.sequence(), now,
-                                reply.SerializeAsString() };
-        }
-        return encodedServers_;
+        wire::FleetViewReply reply;
+        addChangedServers(now, 0, &reply);
+        return { viewChanges_.sequence(), reply.SerializeAsString() };
     }
 
     // Adds the servers that changed after sequence number `since`.
@@ -704,14 +683,17 @@
                     toWire(now, toKnownServer(*entry, scheduler_->isSuspected(id)));
             }
         }
-        if (since > 0) {
-            for (const std::string &id : viewChanges_.removedSince(since)) {
-                reply->add_removed(id);
-            }
+    }
+
+    void addRemovedServers(std::uint64_t since, wire::FleetViewReply *reply) const
+    {
+        for (const std::string &id : viewChanges_.removedSince(since)) {
+            reply->add_removed(id);
         }
     }
 
-    // Schedules one update to the VMs that covers all changes of this event loop iteration.
+    // Schedules one update to the VMs that covers all documents and zones that change in this event
+    // loop iteration. Changes of servers are published by tick().
     void scheduleViewUpdate()
     {
         if (updateScheduled_) {
@@ -747,7 +729,7 @@
                 ++watcher;
                 continue;
             }
-            watcher->respond(makeRedirectView(watcher->documentIndex).SerializeAsString());
+            watcher->respond(encodeRedirectView(watcher->documentIndex));
             watcher = watchers_.erase(watcher);
         }
     }
@@ -894,7 +876,7 @@
     std::map<scheduler::SlotRequestKey, SlotResponder> slotRequests_;
     std::list<Watcher> watchers_;
     VmRegistry entryVms_;
-    EncodedServers encodedServers_;
+    CompleteViewCache completeViewCache_;
     std::mt19937_64 random_ { std::random_device {}() };
     std::set<std::string> serversToPersist_;
     Instant serversPersistedAt_;
--- a/src/coordination/leaderclient.cpp
+++ b/src/coordination/leaderclient.cpp
@@ -191,33 +191,26 @@
 
     void probeRelay(const peer::Address &relay)
     {
-        if (!pendingProbes_.insert(relay).second) {
-            return;
-        }
-        wire::FleetViewRequest request;
-        request.set_vm(options_.vm);
-        request.set_relay_probe(true);
-        clients_.call<wire::FleetViewReply>(
-            relay, peer::Method::FleetView, request, ProbeTimeout,
-            [this, relay](const peer::CallResult<wire::FleetViewReply> &result) {
-                pendingProbes_.erase(relay);
-                if (const auto *reply = std::get_if<wire::FleetViewReply>(&result)) {
-                    handleRelayProbe(relay, *reply);
-                }
-            });
+        const auto makeRequest = [this] {
+            wire::FleetViewRequest request;
+            request.set_vm(options_.vm);
+            request.set_relay_probe(true);
+            return request;
+        };
+        sendProbe(relay, makeRequest,
+                  [this, relay](const wire::FleetViewRequest &, const wire::FleetViewReply &reply) {
+                      handleRelayProbe(relay, reply);
+                  });
     }
 
     void handleRelayProbe(const peer::Address &relay, const wire::FleetViewReply &reply)
     {
-        for (const std::string &text : reply.relays()) {
-            if (const auto referred = parsePeerAddress(text)) {
-                relays_.tryNext(*referred);
-            }
+        for (const peer::Address &referred : parseRelays(reply)) {
+            relays_.tryNext(referred);
         }
         const bool needsPath = !hasLeader() && !usesRelay() && active_;
         if (reply.can_relay() && needsPath) {
             leader_ = relay;
-            lastPathWasRelay_ = true;
             requestView();
         }
     }
@@ -233,17 +226,30 @@
     }
 
     void probe(const peer::Address &address)
+    {
+        sendProbe(
+            address, [this] { return makeViewRequest(); },
+            [this, address](const wire::FleetViewRequest &request,
+                            const wire::FleetViewReply &reply) {
+                handleViewReply(address, request, reply);
+            });
+    }
+
+    // Sends a request to `address` unless an earlier one is pending there.
+    template <class MakeRequest, class HandleReply>
+    void sendProbe(const peer::Address &address, MakeRequest makeRequest, HandleReply handleReply)
     {
         if (!pendingProbes_.insert(address).second) {
             return;
         }
-        const wire::FleetViewRequest request = makeViewRequest();
+        const wire::FleetViewRequest request = makeRequest();
         clients_.call<wire::FleetViewReply>(
             address, peer::Method::FleetView, request, ProbeTimeout,
-            [this, address, request](const peer::CallResult<wire::FleetViewReply> &result) {
+            [this, address, request,
+             handleReply](const peer::CallResult<wire::FleetViewReply> &result) {
                 pendingProbes_.erase(address);
                 if (const auto *reply = std::get_if<wire::FleetViewReply>(&result)) {
-                    handleViewReply(address, request, *reply);
+                    handleReply(request, *reply);
                 }
             });
     }
@@ -319,6 +325,14 @@
     }
 
     void applyRelays(const wire::FleetViewReply &reply)
+    {
+        std::vector<peer::Address> relays = parseRelays(reply);
+        if (!relays.empty()) {
+            relays_.replace(timers_.now(), std::move(relays));
+        }
+    }
+
+    static std::vector<peer::Address> parseRelays(const wire::FleetViewReply &reply)
     {
         std::vector<peer::Address> relays;
         for (const std::string &text : reply.relays()) {
@@ -326,9 +340,7 @@
                 relays.push_back(*relay);
             }
         }
-        if (!relays.empty()) {
-            relays_.replace(timers_.now(), std::move(relays));
-        }
+        return relays;
     }
 
     std::optional<peer::Address> addControlAddress(const std::string &text)
@@ -420,6 +432,7 @@
     // The address at which a view request is pending.
     std::optional<peer::Address> viewRequestedFrom_;
     RelayList relays_;
+    // The last message of the leader came through a relay.
     bool lastPathWasRelay_ = false;
     bool leaderLossLogged_ = false;
     TimerHandle maintenance_;
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -152,14 +152,12 @@
     // check.
     void callLocal(Method method, std::string body, Responder respond);
 
-    // Registers a handler that takes and returns parsed messages. A body that cannot be parsed is
-    // rejected with PeerProtocol.
-    template <class Request, class Response>
-    void
-    registerTypedHandler(Method method, Role role,
-                         std::function<void(const Caller &, const Request &,
-                                            std::function<void(std::variant<Response, Failure>)>)>
-                             handler)
+    // Registers a handler that takes a parsed message and returns an encoded one. A body that
+    // cannot be parsed is rejected with PeerProtocol.
+    template <class Request>
+    void registerParsedHandler(
+        Method method, Role role,
+        std::function<void(const Caller &, const Request &, const Responder &)> handler)
     {
         registerHandler(
             method, role,
@@ -170,6 +168,21 @@
                                       "request body is not a valid message" });
                     return;
                 }
+                handler(caller, request, respond);
+            });
+    }
+
+    // Like registerParsedHandler(), with a handler that returns a message too.
+    template <class Request, class Response>
+    void
+    registerTypedHandler(Method method, Role role,
+                         std::function<void(const Caller &, const Request &,
+                                            std::function<void(std::variant<Response, Failure>)>)>
+                             handler)
+    {
+        registerParsedHandler<Request>(
+            method, role,
+            [handler](const Caller &caller, const Request &request, const Responder &respond) {
                 handler(caller, request, [respond](const std::variant<Response, Failure> &reply) {
                     if (auto *failure = std::get_if<Failure>(&reply)) {
                         respond(*failure);
--- a/src/scheduler/grayfleet_test.cpp
+++ b/src/scheduler/grayfleet_test.cpp
@@ -1,10 +1,10 @@
 // Simulates the heaviest load of gray servers: three in ten servers of a large service fail nine in
 // ten of their requests in episodes of twelve seconds, while most requests are not idempotent.
+#include "testing/grayservers.h"
 #include "testing/schedulerfleet.h"
 
 #include <gtest/gtest.h>
 
-#include <cmath>
 #include <cstdio>
 #include <queue>
 #include <random>
@@ -41,14 +41,12 @@
 {
 public:
     GrayFleet(const GrayFleetCase &gray, std::uint64_t seed)
-        : gray_(gray), random_(seed), fleet_({}, seed)
+        : gray_(gray), random_(seed), fleet_({}, seed),
+          episodes_(random_, gray.grayShare, EpisodeLength)
     {
         fleet_.addServers(gray.servers, 3);
         for (int i = 0; i < gray.servers; ++i) {
-            FailureEpisode &episode = episodes_["a" + std::to_string(i)];
-            drawState(episode);
-            episode.nextDrawAt =
-                fleet_.now + Duration(static_cast<Duration::rep>(uniform() * 12e6));
+            episodes_.addServer(fleet_.now, "a" + std::to_string(i));
         }
     }
 
@@ -57,7 +55,7 @@
         const Instant end = fleet_.now + length;
         while (fleet_.now < end) {
             fleet_.advance(StepLength);
-            updateEpisodes();
+            episodes_.update(fleet_.now);
             finishRequests();
             startRequests();
             processGrants();
@@ -66,7 +64,7 @@
 
     double failedPerEpisode() const
     {
-        return failedNonIdempotent_ / std::max(1.0, startedEpisodes_);
+        return failedNonIdempotent_ / std::max(1.0, static_cast<double>(episodes_.startedCount()));
     }
     double retriesPerSecond(Duration length) const
     {
@@ -77,12 +75,6 @@
     std::size_t serversUsed() const { return usedServers_.size(); }
 
 private:
-    struct FailureEpisode
-    {
-        bool failing = false;
-        Instant nextDrawAt;
-    };
-
     struct Running
     {
         Instant endsAt;
@@ -96,32 +88,7 @@
         friend bool operator<(const Running &a, const Running &b) { return a.endsAt > b.endsAt; }
     };
 
-    double uniform() { return std::uniform_real_distribution<double>(0, 1)(random_); }
-    bool bernoulli(double share) { return uniform() < share; }
-
-    Duration serviceTime()
-    {
-        const double mu = std::log(MeanServiceTimeMs) - ServiceTimeSigma * ServiceTimeSigma / 2;
-        const double ms = std::lognormal_distribution<double>(mu, ServiceTimeSigma)(random_);
-        return Duration(static_cast<Duration::rep>(ms * 1000));
-    }
-
-    void drawState(FailureEpisode &episode)
-    {
-        const bool failed = episode.failing;
-        episode.failing = bernoulli(gray_.grayShare);
-        startedEpisodes_ += episode.failing && !failed ? 1 : 0;
-    }
-
-    void updateEpisodes()
-    {
-        for (auto &[id, episode] : episodes_) {
-            if (fleet_.now >= episode.nextDrawAt) {
-                drawState(episode);
-                episode.nextDrawAt += EpisodeLength;
-            }
-        }
-    }
+    bool bernoulli(double share) { return drawBernoulli(random_, share); }
 
     void sendRequest(bool idempotent, bool retry, const std::string &excludedServer)
     {
@@ -168,8 +135,8 @@
         running.slot = grant.slotId;
         running.server = grant.serverId;
         running.idempotent = idempotent;
-        running.gray = episodes_.at(grant.serverId).failing && bernoulli(gray_.failingShare);
-        running.took = serviceTime();
+        running.gray = episodes_.isFailing(grant.serverId) && bernoulli(gray_.failingShare);
+        running.took = drawServiceTime(random_, MeanServiceTimeMs, ServiceTimeSigma);
         if (running.gray && gray_.failureMode == FailureMode::Errors) {
             running.outcome = Outcome::ServerError;
             running.took = ErrorTime;
@@ -203,12 +170,11 @@
     GrayFleetCase gray_;
     std::mt19937_64 random_;
     SimulatedFleet fleet_;
-    std::map<std::string, FailureEpisode> episodes_;
+    FailureEpisodes episodes_;
     std::map<std::uint64_t, std::pair<Instant, bool>> sentAt_;
     std::priority_queue<Running> running_;
     std::set<std::string> usedServers_;
     double sent_ = 0;
-    double startedEpisodes_ = 0;
     double failedNonIdempotent_ = 0;
     double retries_ = 0;
     double rejected_ = 0;
--- a/src/scheduler/widefleet_test.cpp
+++ b/src/scheduler/widefleet_test.cpp
@@ -2,11 +2,11 @@
 // availability zones, while three in ten servers fail most of their requests in episodes. Such a VM
 // rarely sends two requests to the same server, so connections are reused and zones are kept only
 // if the scheduler prefers near servers and those to which the VM holds an idle connection.
+#include "testing/grayservers.h"
 #include "testing/schedulerfleet.h"
 
 #include <gtest/gtest.h>
 
-#include <cmath>
 #include <cstdio>
 #include <queue>
 #include <random>
@@ -51,14 +51,12 @@
 {
 public:
     WideFleet(const WideFleetCase &wide, std::uint64_t seed)
-        : wide_(wide), random_(seed), fleet_({}, seed)
+        : wide_(wide), random_(seed), fleet_({}, seed), episodes_(random_, GrayShare, EpisodeLength)
     {
         for (int zone = 0; zone < wide.zones; ++zone) {
             fleet_.addServers(wide.serversPerZone, 4, zoneName(zone));
             for (int i = 0; i < wide.serversPerZone; ++i) {
-                Episode &episode = episodes_[zoneName(zone) + std::to_string(i)];
-                episode.failing = bernoulli(GrayShare);
-                episode.nextDrawAt = fleet_.now + toDuration(uniform() * 9000);
+                episodes_.addServer(fleet_.now, zoneName(zone) + std::to_string(i));
             }
         }
         vms_.resize(static_cast<std::size_t>(wide.zones)
@@ -70,7 +68,7 @@
         const Instant end = fleet_.now + length;
         while (fleet_.now < end) {
             fleet_.advance(StepLength);
-            updateEpisodes();
+            episodes_.update(fleet_.now);
             finishRequests();
             startRequests();
             processGrants();
@@ -95,12 +93,6 @@
     const Counts &counts() const { return counts_; }
 
 private:
-    struct Episode
-    {
-        bool failing = false;
-        Instant nextDrawAt;
-    };
-
     struct Sent
     {
         std::size_t vm = 0;
@@ -122,28 +114,13 @@
     };
 
     static std::string zoneName(int zone) { return std::string(1, static_cast<char>('a' + zone)); }
-    static Duration toDuration(double ms)
-    {
-        return Duration(static_cast<Duration::rep>(ms * 1000));
-    }
-    double uniform() { return std::uniform_real_distribution<double>(0, 1)(random_); }
-    bool bernoulli(double share) { return uniform() < share; }
+    bool bernoulli(double share) { return drawBernoulli(random_, share); }
 
     std::string zoneOf(std::size_t vm) const
     {
         return zoneName(static_cast<int>(vm) / wide_.vmsPerZone);
     }
 
-    void updateEpisodes()
-    {
-        for (auto &[id, episode] : episodes_) {
-            if (fleet_.now >= episode.nextDrawAt) {
-                episode.failing = bernoulli(GrayShare);
-                episode.nextDrawAt += EpisodeLength;
-            }
-        }
-    }
-
     std::set<std::string> connectedServers(std::size_t vm)
     {
         std::set<std::string> connected;
@@ -218,8 +195,8 @@
         running.slot = grant.slotId;
         running.sent = sent;
         running.server = grant.serverId;
-        running.gray = episodes_.at(grant.serverId).failing && bernoulli(FailingShare);
-        running.took = serviceTime();
+        running.gray = episodes_.isFailing(grant.serverId) && bernoulli(FailingShare);
+        running.took = drawServiceTime(random_, MeanServiceTimeMs, ServiceTimeSigma);
         if (running.gray) {
             running.outcome = Outcome::ServerError;
             running.took = ErrorTime;
@@ -230,12 +207,6 @@
         running_.push(running);
     }
 
-    Duration serviceTime()
-    {
-        const double mu = std::log(MeanServiceTimeMs) - ServiceTimeSigma * ServiceTimeSigma / 2;
-        return toDuration(std::lognormal_distribution<double>(mu, ServiceTimeSigma)(random_));
-    }
-
     void finishRequests()
     {
         while (!running_.empty() && running_.top().endsAt <= fleet_.now) {
@@ -254,7 +225,7 @@
     WideFleetCase wide_;
     std::mt19937_64 random_;
     SimulatedFleet fleet_;
-    std::map<std::string, Episode> episodes_;
+    FailureEpisodes episodes_;
     // Idle connections of each VM: until when each is kept, by server.
     std::vector<std::map<std::string, Instant>> vms_;
     std::map<std::uint64_t, Sent> sent_;
