Control VMs report heap, unsent responses and log bytes (metrics, MemoryGrown)

The log line comes on each growth of 32 MiB, since the processes of the report lived shorter than the period in which metrics are read.

--- a/src/consensus/consensus.h
+++ b/src/consensus/consensus.h
@@ -208,6 +208,8 @@
     std::uint64_t commitIndex() const { return commitIndex_; }
     std::uint64_t lastIndex() const;
     std::uint64_t firstIndex() const { return snapshot_.index + 1; }
+    // Returns the bytes of the payloads of all entries after the snapshot.
+    std::size_t logBytes() const;
     const Members &members() const { return members_; }
     // Returns the leader, if known.
     std::optional<MemberInfo> leader() const;
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -31,6 +31,15 @@
     return entries_.empty() ? snapshot_.index : entries_.back().index;
 }
 
+std::size_t Replica::logBytes() const
+{
+    std::size_t bytes = 0;
+    for (const Entry &entry : entries_) {
+        bytes += entry.payload.size();
+    }
+    return bytes;
+}
+
 std::optional<std::uint64_t> Replica::termAt(std::uint64_t index) const
 {
     if (index == snapshot_.index) {
--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -33,6 +33,8 @@
 // Short enough for requests to wait for the election of a new leader. A round trip takes 2 ms.
 constexpr consensus::Timings ElectionTimings { Milliseconds(60), Milliseconds(300),
                                                Milliseconds(550) };
+constexpr Milliseconds MemoryCheckPeriod { 200 };
+constexpr std::size_t MemoryReportStep = 32UL * 1024 * 1024; // bytes
 constexpr Milliseconds JoinPeriod { 300 };
 constexpr Milliseconds JoinTimeout { 1000 };
 // A member that has known no leader for this long sends join requests.
@@ -92,6 +94,7 @@
         lastLeaderContactAt_ = timers_.now();
         tick_ = timers_.runEvery(TickPeriod, [this] { tick(); });
         membershipTick_ = timers_.runEvery(MembershipPeriod, [this] { reconcileMembership(); });
+        memoryTick_ = timers_.runEvery(MemoryCheckPeriod, [this] { reportMemory(); });
         joinTick_ = timers_.runEvery(JoinPeriod, [this] { sendJoinRequestsIfNeeded(); });
         leaderClient_.start();
         return {};
@@ -197,6 +200,9 @@
             { "daisyhaven_entry_vms", static_cast<double>(entryVms_.recentCount(timers_.now())) },
             { "daisyhaven_questions_waiting",
               scheduler_ ? static_cast<double>(scheduler_->queuedRequestCount()) : 0 },
+            { "daisyhaven_heap_bytes", static_cast<double>(heapBytesInUse()) },
+            { "daisyhaven_unsent_bytes", static_cast<double>(server_.unsentBytes()) },
+            { "daisyhaven_log_bytes", static_cast<double>(runner_.replica().logBytes()) },
             { "daisyhaven_slots_granted",
               scheduler_ ? static_cast<double>(scheduler_->grantedSlotCount()) : 0 },
         };
@@ -431,6 +437,23 @@
         }
     }
 
+    // Logs what holds memory each time the heap has grown by MemoryReportStep beyond its last
+    // reported size.
+    void reportMemory()
+    {
+        const std::size_t heap = heapBytesInUse();
+        if (heap < reportedHeapBytes_ + MemoryReportStep) {
+            return;
+        }
+        reportedHeapBytes_ = heap;
+        logEvent(Event::MemoryGrown,
+                 { { "heapBytes", heap },
+                   { "unsentBytes", server_.unsentBytes() },
+                   { "logBytes", runner_.replica().logBytes() },
+                   { "connections", server_.connectionCount() },
+                   { "leads", isLeading() ? "yes" : "no" } });
+    }
+
     void tick()
     {
         const Instant now = timers_.now();
@@ -880,6 +903,7 @@
     std::mt19937_64 random_ { std::random_device {}() };
     std::set<std::string> serversToPersist_;
     Instant serversPersistedAt_;
+    std::size_t reportedHeapBytes_ = 0;
     bool updateScheduled_ = false;
     // Servers changed after `publishedSequence_`, up to which every VM is told at once.
     bool serversChanged_ = false;
@@ -887,6 +911,7 @@
     std::uint64_t publishedSequence_ = 0;
     TimerHandle tick_;
     TimerHandle membershipTick_;
+    TimerHandle memoryTick_;
     TimerHandle joinTick_;
 };
 
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -134,6 +134,8 @@
         { Event::SettingsReloaded, "SettingsReloaded", "info", "The settings were read again." },
         { Event::LogLinesDropped, "LogLinesDropped", "warn",
           "More lines were due than the limit allows; `count` were left out." },
+        { Event::MemoryGrown, "MemoryGrown", "info",
+          "The heap has grown; what is unsent and what the log holds." },
         { Event::HealthChanged, "HealthChanged", "info", "The health page changed colour." },
         { Event::ConfigurationApplied, "ConfigurationApplied", "info",
           "A newer configuration is in force on this VM." },
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -10,6 +10,8 @@
 
 #include <array>
 
+#include <malloc.h>
+
 namespace daisyhaven {
 
 namespace accumulators = boost::accumulators;
@@ -82,6 +84,12 @@
     accumulators::accumulator_set<double, Statistics> set_;
 };
 
+std::size_t heapBytesInUse()
+{
+    const struct mallinfo2 info = mallinfo2();
+    return info.uordblks + info.hblkhd;
+}
+
 Metrics::Metrics() = default;
 Metrics::~Metrics() = default;
 
--- a/src/observe/observe.h
+++ b/src/observe/observe.h
@@ -31,6 +31,7 @@
     SettingsRejected = 1004,
     SettingsReloaded = 1005,
     LogLinesDropped = 1006,
+    MemoryGrown = 1007,
     HealthChanged = 1101,
     ConfigurationApplied = 1201,
     ConfigurationStale = 1202,
@@ -122,6 +123,9 @@
 // startStructuredLogging(), as a JSON object.
 void logEvent(Event event, const std::vector<Field> &fields);
 
+// Returns the bytes of the heap that this process has allocated and not freed.
+std::size_t heapBytesInUse();
+
 // Ordered label names and values that identify one time series.
 using Labels = std::vector<std::pair<std::string, std::string>>;
 
--- a/src/peer/internal/session.cpp
+++ b/src/peer/internal/session.cpp
@@ -309,6 +309,15 @@
     }
 }
 
+std::size_t Session::unsentBytes() const
+{
+    std::size_t bytes = evbuffer_get_length(bufferevent_get_output(connection_));
+    for (const auto &[streamId, stream] : streams_) {
+        bytes += stream.outgoing.size() - stream.outgoingOffset;
+    }
+    return bytes;
+}
+
 std::string Session::authenticatedIdentity() const
 {
     if (protection_ == Protection::None) {
--- a/src/peer/internal/session.h
+++ b/src/peer/internal/session.h
@@ -65,6 +65,9 @@
     void cancelStream(std::int32_t streamId);
     void sendPing();
 
+    // Returns the bytes of requests and responses that the connection has not taken yet.
+    std::size_t unsentBytes() const;
+
     bool established() const { return established_; }
     Instant lastReceived() const { return lastReceived_; }
     // On servers, the PSK identity of the client; empty on clients.
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -152,6 +152,12 @@
     // check.
     void callLocal(Method method, std::string body, Responder respond);
 
+    // Returns the bytes of responses that the connections have not taken yet.
+    std::size_t unsentBytes() const;
+
+    // Returns the number of open connections.
+    std::size_t connectionCount() const;
+
     // Registers a handler that takes a parsed message and returns an encoded one. A body that
     // cannot be parsed is rejected with PeerProtocol.
     template <class Request>
--- a/src/peer/server.cpp
+++ b/src/peer/server.cpp
@@ -81,6 +81,17 @@
         entry->second.handler(thisProcess, std::move(body), std::move(respond));
     }
 
+    std::size_t unsentBytes() const
+    {
+        std::size_t bytes = 0;
+        for (const auto &[id, session] : sessions_) {
+            bytes += session->unsentBytes();
+        }
+        return bytes;
+    }
+
+    std::size_t connectionCount() const { return sessions_.size(); }
+
 private:
     struct HandlerEntry
     {
@@ -183,6 +194,16 @@
     return impl_->listen(address);
 }
 
+std::size_t Server::unsentBytes() const
+{
+    return impl_->unsentBytes();
+}
+
+std::size_t Server::connectionCount() const
+{
+    return impl_->connectionCount();
+}
+
 void Server::registerHandler(Method method, Role role, Handler handler)
 {
     impl_->handle(method, role, std::move(handler));
