Cancelled responses leave the output of their connection

A VM with a slow link asks again after 0.6 s, so the output of 129 connections grows without anything arriving. Why it works: output is taken from the HTTP/2 session only while less than 64 KB wait; the rest belongs to its stream and goes when the stream is cancelled.

--- a/src/peer/internal/session.cpp
+++ b/src/peer/internal/session.cpp
@@ -21,6 +21,10 @@
 
 constexpr std::uint32_t MaxConcurrentStreams = 10'000;
 constexpr std::int32_t WindowBytes = 16 * 1024 * 1024;
+// Output is taken from the session only while the connection holds less than this. What stays in
+// the session is freed when its stream is cancelled.
+constexpr std::size_t MaxBufferedOutput = 64UL * 1024; // bytes
+constexpr std::size_t OutputRefillThreshold = 32UL * 1024; // bytes
 // Identity of every client on a connection without authentication.
 constexpr const char *UnauthenticatedIdentity = "vm:unproven";
 constexpr const char *ResultHeader = "dh-result";
@@ -138,6 +142,12 @@
         sessionOf(user).processInput();
     }
 
+    // Runs when the output has fallen to OutputRefillThreshold.
+    static void onWritable(bufferevent * /*connection*/, void *user)
+    {
+        sessionOf(user).flushOutput();
+    }
+
     static void onEvent(bufferevent * /*connection*/, short what, void *user)
     {
         sessionOf(user).handleEvent(what);
@@ -193,8 +203,9 @@
     };
     nghttp2_submit_settings(session_, NGHTTP2_FLAG_NONE, settings, std::size(settings));
     nghttp2_session_set_local_window_size(session_, NGHTTP2_FLAG_NONE, 0, WindowBytes);
-    bufferevent_setcb(connection_, &SessionCallbacks::onReadable, nullptr,
+    bufferevent_setcb(connection_, &SessionCallbacks::onReadable, &SessionCallbacks::onWritable,
                       &SessionCallbacks::onEvent, this);
+    bufferevent_setwatermark(connection_, EV_WRITE, OutputRefillThreshold, 0);
     bufferevent_enable(connection_, EV_READ | EV_WRITE);
     disableNagle(connection_);
     if (isServer && protection == Protection::None) {
@@ -298,7 +309,7 @@
         return;
     }
     evbuffer *output = bufferevent_get_output(connection_);
-    while (true) {
+    while (evbuffer_get_length(output) < MaxBufferedOutput) {
         const std::uint8_t *data = nullptr;
         const ssize_t length = nghttp2_session_mem_send(session_, &data);
         if (length <= 0) {
--- a/src/peer/peer_test.cpp
+++ b/src/peer/peer_test.cpp
@@ -5,6 +5,10 @@
 #include <event2/listener.h>
 #include <event2/util.h>
 #include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <nghttp2/nghttp2.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace daisyhaven::peer {
@@ -113,5 +117,115 @@
     EXPECT_EQ(slot, 42U);
 }
 
+// An HTTP/2 client that sends requests and cancels them, and reads nothing.
+class NonReadingClient
+{
+public:
+    explicit NonReadingClient(const Address &address)
+    {
+        sockaddr_storage storage {};
+        int length = sizeof(storage);
+        auto *socketAddress = reinterpret_cast<sockaddr *>(&storage);
+        evutil_parse_sockaddr_port(address.toString().c_str(), socketAddress, &length);
+        socket_ = ::socket(AF_INET, SOCK_STREAM, 0);
+        const int receiveBuffer = 4096;
+        ::setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
+        const int noDelay = 1;
+        ::setsockopt(socket_, IPPROTO_TCP, TCP_NODELAY, &noDelay, sizeof(noDelay));
+        connected_ = ::connect(socket_, socketAddress, static_cast<socklen_t>(length)) == 0;
+        nghttp2_session_callbacks *callbacks = nullptr;
+        nghttp2_session_callbacks_new(&callbacks);
+        nghttp2_session_client_new(&session_, callbacks, nullptr);
+        nghttp2_session_callbacks_del(callbacks);
+        const nghttp2_settings_entry window { NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, WindowBytes };
+        nghttp2_submit_settings(session_, NGHTTP2_FLAG_NONE, &window, 1);
+        nghttp2_session_set_local_window_size(session_, NGHTTP2_FLAG_NONE, 0, WindowBytes);
+    }
+    NonReadingClient(const NonReadingClient &) = delete;
+    NonReadingClient &operator=(const NonReadingClient &) = delete;
+    ~NonReadingClient()
+    {
+        nghttp2_session_del(session_);
+        evutil_closesocket(socket_);
+    }
+
+    bool connected() const { return connected_; }
+
+    std::int32_t sendRequest(Method method)
+    {
+        std::string names[] { ":method", ":scheme", ":path", ":authority" };
+        std::string values[] { "POST", "http", std::string("/v1/") + methodName(method), "vm" };
+        std::vector<nghttp2_nv> headers;
+        for (std::size_t i = 0; i < std::size(names); ++i) {
+            headers.push_back({ reinterpret_cast<std::uint8_t *>(names[i].data()),
+                                reinterpret_cast<std::uint8_t *>(values[i].data()), names[i].size(),
+                                values[i].size(), NGHTTP2_NV_FLAG_NONE });
+        }
+        const std::int32_t stream = nghttp2_submit_request(session_, nullptr, headers.data(),
+                                                           headers.size(), nullptr, nullptr);
+        write();
+        return stream;
+    }
+
+    void cancel(std::int32_t stream)
+    {
+        nghttp2_submit_rst_stream(session_, NGHTTP2_FLAG_NONE, stream, NGHTTP2_CANCEL);
+        write();
+    }
+
+private:
+    static constexpr std::int32_t WindowBytes = 16 * 1024 * 1024;
+
+    void write()
+    {
+        const std::uint8_t *bytes = nullptr;
+        ssize_t length = nghttp2_session_mem_send(session_, &bytes);
+        while (length > 0) {
+            ASSERT_EQ(::write(socket_, bytes, static_cast<std::size_t>(length)), length);
+            length = nghttp2_session_mem_send(session_, &bytes);
+        }
+    }
+
+    int socket_ = -1;
+    bool connected_ = false;
+    nghttp2_session *session_ = nullptr;
+};
+
+// Guards against control VMs running out of memory: responses to VMs that asked again and again
+// without reading stayed in the output of their connections.
+TEST(SlowReader, KeepsNoCancelledResponsesInMemory)
+{
+    constexpr std::size_t ResponseBytes = 256UL * 1024;
+    constexpr int Requests = 100;
+    // Half of the memory of a control VM, 256 MB, for 440 connections.
+    constexpr std::size_t MaxUnsentBytes = 128UL * 1024 * 1024 / 440;
+    const std::unique_ptr<event_base, EventBaseDeleter> base(event_base_new());
+    Server server(base.get(), unauthenticatedCredentials());
+    ASSERT_TRUE(std::holds_alternative<bool>(attempt([&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(server.listen(testAddress()));
+        return true;
+    })));
+    int served = 0;
+    server.registerHandler(Method::FleetView, Role::Vm,
+                           [&](const Caller &, const std::string &, const Responder &respond) {
+                               ++served;
+                               respond(std::string(ResponseBytes, 'x'));
+                           });
+    NonReadingClient client(testAddress());
+    ASSERT_TRUE(client.connected());
+    for (int i = 0; i < Requests; ++i) {
+        const std::int32_t stream = client.sendRequest(Method::FleetView);
+        for (int turn = 0; turn < 1000 && served == i; ++turn) {
+            event_base_loop(base.get(), EVLOOP_NONBLOCK);
+        }
+        client.cancel(stream);
+    }
+    for (int turn = 0; turn < 1000; ++turn) {
+        event_base_loop(base.get(), EVLOOP_NONBLOCK);
+    }
+    EXPECT_EQ(served, Requests);
+    EXPECT_LE(server.unsentBytes(), MaxUnsentBytes);
+}
+
 } // namespace
 } // namespace daisyhaven::peer
