Connections between VMs keep no closed streams

What callers would see: a control VM that reaches its memory limit after some minutes of ordinary load. Cause (hypothesis 3): an HTTP/2 server session of nghttp2 keeps closed streams for the priority tree, up to the allowed 10,000 concurrent ones a connection. Why it works: calls carry no priorities, so the session frees a stream when it closes.

--- a/src/peer/internal/session.cpp
+++ b/src/peer/internal/session.cpp
@@ -192,7 +192,12 @@
     nghttp2_session_callbacks_set_on_stream_close_callback(nghttp2Callbacks,
                                                            &SessionCallbacks::onStreamClose);
     if (isServer) {
-        nghttp2_session_server_new(&session_, nghttp2Callbacks, this);
+        // Closed streams would be kept for priorities, which calls do not use.
+        nghttp2_option *options = nullptr;
+        nghttp2_option_new(&options);
+        nghttp2_option_set_no_closed_streams(options, 1);
+        nghttp2_session_server_new2(&session_, nghttp2Callbacks, this, options);
+        nghttp2_option_del(options);
     } else {
         nghttp2_session_client_new(&session_, nghttp2Callbacks, this);
     }
--- a/src/peer/peer_test.cpp
+++ b/src/peer/peer_test.cpp
@@ -1,3 +1,4 @@
+#include "observe/observe.h"
 #include "peer/generated/peer.pb.h"
 #include "peer/peer.h"
 
@@ -227,5 +228,41 @@
     EXPECT_LE(server.unsentBytes(), MaxUnsentBytes);
 }
 
+// Guards against connections that grow with every call: HTTP/2 sessions kept closed streams.
+TEST(LongConnection, UsesNoMemoryForClosedCalls)
+{
+    constexpr int Calls = 20'000;
+    constexpr std::size_t MaxBytesPerConnection = 128UL * 1024 * 1024 / 440;
+    const std::unique_ptr<event_base, EventBaseDeleter> base(event_base_new());
+    TimerService timers(base.get());
+    Server server(base.get(), unauthenticatedCredentials());
+    ASSERT_TRUE(std::holds_alternative<bool>(attempt([&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(server.listen(testAddress()));
+        return true;
+    })));
+    server.registerTypedHandler<wire::Empty, wire::Empty>(
+        Method::Join, Role::Vm,
+        [](const Caller &, const wire::Empty &, auto respond) { respond(wire::Empty {}); });
+    ClientPool clients(base.get(), timers, unauthenticatedCredentials());
+    int remaining = 1;
+    std::function<void()> callNext = [&] {
+        clients.call<wire::Empty>(testAddress(), Method::Join, wire::Empty {}, Seconds(5),
+                                  [&](const CallResult<wire::Empty> &) {
+                                      if (--remaining > 0) {
+                                          callNext();
+                                      } else {
+                                          event_base_loopbreak(base.get());
+                                      }
+                                  });
+    };
+    callNext();
+    event_base_dispatch(base.get());
+    const std::size_t before = heapBytesInUse();
+    remaining = Calls;
+    callNext();
+    event_base_dispatch(base.get());
+    EXPECT_LE(heapBytesInUse(), before + MaxBytesPerConnection);
+}
+
 } // namespace
 } // namespace daisyhaven::peer
