Documents are downloaded in chunks, as changes to the version that a VM holds

A document that takes longer than the probe (0.6 s) or the view request (1.2 s) never arrives, and everybody asks again: congestion collapse. Why it works: a reply names version and zones only. A VM downloads one chunk of 32 KB at a time and goes on where it stopped, at any replica; what is sent is the difference to the version that it holds; a download under way is finished before the next one, so that changes in series cannot starve it. Old and new releases still understand each other: the request says whether the VM downloads.

--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -1,5 +1,6 @@
 #include "coordination/coordination.h"
 #include "coordination/internal/completeviewcache.h"
+#include "coordination/internal/documenthistory.h"
 #include "coordination/internal/durablestate.h"
 #include "coordination/internal/membershipcontroller.h"
 #include "coordination/internal/viewchangelog.h"
@@ -81,8 +82,7 @@
                   replicaCallbacks()),
           membership_(options_.groupSize),
           leaderClient_(timers, clients,
-                        { options_.vm, incarnation_, options_.seeds, options_.ownAddress,
-                          options_.documentParser },
+                        { options_.vm, incarnation_, options_.seeds, options_.ownAddress, nullptr },
                         {})
     {
     }
@@ -215,6 +215,7 @@
         std::string vm;
         bool wantsRelays = false;
         bool relayed = false;
+        bool downloadsDocuments = false;
         std::uint64_t epoch = 0;
         std::uint64_t sequence = 0;
         std::uint64_t documentIndex = 0;
@@ -245,6 +246,7 @@
         callbacks.applyEntry = [this](const consensus::Entry &entry) { apply(entry); };
         callbacks.restoreState = [this](const std::string &snapshot) -> Result<void> {
             BOOST_LEAF_CHECK(state_.restore(snapshot));
+            recordDocument();
             return {};
         };
         callbacks.captureState = [this] { return state_.toSnapshot(); };
@@ -285,6 +287,9 @@
             return;
         }
         const auto change = state_.apply(entry.index, command);
+        if (change == DurableState::Change::Document) {
+            recordDocument();
+        }
         if (scheduler_) {
             propagateChange(change, command);
         }
@@ -297,6 +302,13 @@
         }
     }
 
+    void recordDocument()
+    {
+        if (state_.version() > 0) {
+            documents_.add(state_.version(), state_.document());
+        }
+    }
+
     // Applies a committed change to the scheduler and sends it to the VMs.
     void propagateChange(DurableState::Change change, const wire::CoordinationCommand &command)
     {
@@ -433,7 +445,7 @@
         std::list<Watcher> watchers;
         watchers.swap(watchers_);
         for (Watcher &watcher : watchers) {
-            watcher.respond(encodeRedirectView(watcher.documentIndex));
+            watcher.respond(encodeRedirectView(watcher));
         }
     }
 
@@ -450,6 +462,7 @@
                  { { "heapBytes", heap },
                    { "unsentBytes", server_.unsentBytes() },
                    { "logBytes", runner_.replica().logBytes() },
+                   { "documentBytes", documents_.bytes() },
                    { "connections", server_.connectionCount() },
                    { "leads", isLeading() ? "yes" : "no" } });
     }
@@ -564,6 +577,11 @@
                 respond(wire::Empty {});
                 handleSlotRelease(release);
             });
+        server_.registerTypedHandler<wire::DocumentRequest, wire::DocumentChunk>(
+            Method::DownloadDocument, Role::Vm,
+            [this](const Caller &, const wire::DocumentRequest &request, auto respond) {
+                respond(documents_.chunk(request));
+            });
         server_.registerTypedHandler<wire::JoinRequest, wire::Empty>(
             Method::Join, Role::Vm,
             [this](const Caller &, const wire::JoinRequest &request, auto respond) {
@@ -577,10 +595,15 @@
     static Watcher makeWatcher(Instant now, const wire::FleetViewRequest &request,
                                const peer::Responder &respond)
     {
-        return { request.vm(),          request.wants_relays(),
-                 request.relayed(),     request.epoch(),
-                 request.sequence(),    request.document_index(),
-                 now + LongPollTimeout, respond };
+        return { request.vm(),
+                 request.wants_relays(),
+                 request.relayed(),
+                 request.downloads_documents(),
+                 request.epoch(),
+                 request.sequence(),
+                 request.document_index(),
+                 now + LongPollTimeout,
+                 respond };
     }
 
     void handleViewRequest(const wire::FleetViewRequest &request, const peer::Responder &respond)
@@ -589,7 +612,7 @@
         if (!isLeading()) {
             Watcher watcher = makeWatcher(now, request, respond);
             if (leaderRedirect().leader || watcher.documentIndex < state_.lastChangeIndex()) {
-                watcher.respond(encodeRedirectView(watcher.documentIndex));
+                watcher.respond(encodeRedirectView(watcher));
             } else {
                 watchers_.push_back(std::move(watcher));
             }
@@ -623,17 +646,19 @@
             || watcher.documentIndex < state_.lastChangeIndex();
     }
 
-    void addDocument(wire::FleetViewReply *reply, std::uint64_t knownIndex) const
+    // Adds the version and the zones out of service, and the document for a VM of an earlier
+    // release.
+    void addState(const Watcher &watcher, wire::FleetViewReply *reply) const
     {
-        if (state_.version() > 0 && knownIndex < state_.lastChangeIndex()) {
+        if (state_.version() > 0 && watcher.documentIndex < state_.lastChangeIndex()) {
             reply->set_has_document(true);
             reply->set_document_index(state_.lastChangeIndex());
-            *reply->mutable_state() = state_.toViewState();
+            *reply->mutable_state() = state_.toViewState(!watcher.downloadsDocuments);
         }
     }
 
     // Returns an encoded FleetViewReply of a replica that doesn't lead.
-    std::string encodeRedirectView(std::uint64_t knownIndex) const
+    std::string encodeRedirectView(const Watcher &watcher) const
     {
         wire::FleetViewReply reply;
         reply.set_leader(false);
@@ -641,7 +666,7 @@
             reply.set_leader_address(leader->toString());
         }
         addMembers(&reply);
-        addDocument(&reply, knownIndex);
+        addState(watcher, &reply);
         return reply.SerializeAsString();
     }
 
@@ -668,7 +693,7 @@
                 reply.add_relays(std::move(relay));
             }
         }
-        addDocument(&reply, watcher.documentIndex);
+        addState(watcher, &reply);
         if (watcher.relayed) {
             reply.set_servers_omitted(true);
             return reply.SerializeAsString();
@@ -752,7 +777,7 @@
                 ++watcher;
                 continue;
             }
-            watcher->respond(encodeRedirectView(watcher->documentIndex));
+            watcher->respond(encodeRedirectView(*watcher));
             watcher = watchers_.erase(watcher);
         }
     }
@@ -886,6 +911,7 @@
     std::function<void(const Failure &)> stopped_;
     std::uint64_t incarnation_ = static_cast<std::uint64_t>(wallClockMicroseconds());
     DurableState state_;
+    DocumentHistory documents_;
     replication::ReplicaRunner runner_;
     MembershipController membership_;
     LeaderClient leaderClient_;
--- a/src/coordination/durablestate.cpp
+++ b/src/coordination/durablestate.cpp
@@ -76,11 +76,13 @@
     }
 }
 
-wire::CoordinationState DurableState::toViewState() const
+wire::CoordinationState DurableState::toViewState(bool withDocument) const
 {
     wire::CoordinationState state;
     state.set_version(version_);
-    state.set_document(document_);
+    if (withDocument) {
+        state.set_document(document_);
+    }
     state.set_index(lastChangeIndex_);
     for (const std::string &zone : zonesOutOfService_) {
         state.add_zones_out(zone);
@@ -90,7 +92,7 @@
 
 wire::CoordinationState DurableState::toWire() const
 {
-    wire::CoordinationState state = toViewState();
+    wire::CoordinationState state = toViewState(true);
     for (const directory::Deregistration &deregistration : deregistrations_) {
         auto *added = state.add_departures();
         added->set_id(deregistration.id);
--- a/src/coordination/internal/durablestate.h
+++ b/src/coordination/internal/durablestate.h
@@ -25,9 +25,9 @@
     std::string toSnapshot() const { return toWire().SerializeAsString(); }
     // An empty snapshot is the state before the first command. Errors: RecordDamaged.
     Result<void> restore(const std::string &snapshot);
-    // Returns the part of the state that all VMs need; the servers and their deregistrations are
-    // left out.
-    wire::CoordinationState toViewState() const;
+    // Returns the version, the zones out of service and, if `withDocument`, the document: the part
+    // of the state that all VMs need.
+    wire::CoordinationState toViewState(bool withDocument) const;
 
     std::uint64_t version() const { return version_; }
     const std::string &document() const { return document_; }
--- a/src/coordination/leaderclient.cpp
+++ b/src/coordination/leaderclient.cpp
@@ -1,4 +1,5 @@
 #include "coordination/coordination.h"
+#include "coordination/internal/documentdownload.h"
 #include "coordination/internal/relaylist.h"
 #include "coordination/internal/viewcodec.h"
 #include "observe/observe.h"
@@ -16,6 +17,7 @@
 // A control VM that knows of no leader holds the request open; one that does responds at once.
 constexpr Milliseconds ProbePeriod { 100 };
 constexpr Milliseconds ReleaseTimeout { 2000 };
+constexpr Milliseconds ChunkTimeout { 1500 };
 // A lost leader is usually replaced within this time, so relays are tried only after it.
 constexpr Milliseconds RelayProbeDelay { 800 };
 constexpr std::size_t RelaysProbedAtOnce = 2;
@@ -105,6 +107,7 @@
         request.set_epoch(view_.epoch);
         request.set_sequence(view_.sequence);
         request.set_document_index(view_.documentIndex);
+        request.set_downloads_documents(true);
         if (options_.relayAddress) {
             request.set_peer_address(options_.relayAddress->toString());
             request.set_wants_relays(relays_.isOutdated(timers_.now()));
@@ -146,6 +149,7 @@
         if (leader_ && viewRequestedFrom_ != leader_) {
             requestView();
         }
+        continueDownload();
         const Instant now = timers_.now();
         const bool unresponsive = !leader_ || now - lastContactAt_ > LeaderTimeout;
         if (unresponsive && !leaderLossLogged_) {
@@ -289,7 +293,7 @@
         for (const std::string &member : reply.members()) {
             addControlAddress(member);
         }
-        applyDocument(reply);
+        applyState(address, reply);
         if (!reply.leader()) {
             if (leader_ == address) {
                 leader_.reset();
@@ -390,25 +394,84 @@
         }
     }
 
-    void applyDocument(const wire::FleetViewReply &reply)
+    // Applies the zones out of service, and starts a download if there is a newer document.
+    void applyState(const peer::Address &address, const wire::FleetViewReply &reply)
     {
         if (!reply.has_document() || reply.document_index() <= view_.documentIndex) {
             return;
         }
         const wire::CoordinationState &state = reply.state();
-        if (state.version() != view_.configurationVersion && !state.document().empty()) {
-            const auto table = attempt([&] { return options_.documentParser(state.document()); });
-            if (const auto *failure = std::get_if<Failure>(&table)) {
-                logEvent(Event::ChangeRefused,
-                         { { "version", state.version() }, { "reason", toString(*failure) } });
-                return;
-            }
-            view_.routingTable = std::make_shared<const routing::RoutingTable>(
-                std::get<routing::RoutingTable>(table));
-        }
         view_.documentIndex = reply.document_index();
-        view_.configurationVersion = state.version();
         view_.zonesOutOfService = { state.zones_out().begin(), state.zones_out().end() };
+        notifyConfigurationChanged();
+        if (options_.documentParser == nullptr) {
+            return;
+        }
+        // Control VMs of an earlier release send the document itself.
+        if (!state.document().empty() && state.version() > view_.configurationVersion) {
+            const ConfigurationDocument document { state.version(), state.document() };
+            download_.hold(document);
+            applyDocument(document);
+        }
+        download_.want(state.version());
+        downloadFrom_ = address;
+        continueDownload();
+    }
+
+    // Requests the next chunk, from the leader if it is known, unless a request is pending.
+    void continueDownload()
+    {
+        if (chunkRequested_ || !download_.isNeeded()) {
+            return;
+        }
+        chunkRequested_ = true;
+        wire::DocumentRequest request = download_.nextRequest();
+        request.set_vm(options_.vm);
+        const peer::Address source = leader_ ? *leader_ : downloadFrom_;
+        clients_.call<wire::DocumentChunk>(
+            source, peer::Method::DownloadDocument, request, ChunkTimeout,
+            [this](const peer::CallResult<wire::DocumentChunk> &result) {
+                chunkRequested_ = false;
+                if (const auto *chunk = std::get_if<wire::DocumentChunk>(&result)) {
+                    handleChunk(*chunk);
+                }
+            });
+    }
+
+    void handleChunk(const wire::DocumentChunk &chunk)
+    {
+        const auto added = attempt([&] { return download_.add(chunk); });
+        if (const auto *failure = std::get_if<Failure>(&added)) {
+            logEvent(Event::ChangeRefused,
+                     { { "version", chunk.version() }, { "reason", toString(*failure) } });
+            return;
+        }
+        const auto &document = std::get<std::optional<ConfigurationDocument>>(added);
+        if (document) {
+            applyDocument(*document);
+        }
+        // Otherwise the replica does not hold the version yet, and maintain() asks again.
+        if (document || download_.isUnderWay()) {
+            continueDownload();
+        }
+    }
+
+    void applyDocument(const ConfigurationDocument &document)
+    {
+        const auto table = attempt([&] { return options_.documentParser(document.text); });
+        if (const auto *failure = std::get_if<Failure>(&table)) {
+            logEvent(Event::ChangeRefused,
+                     { { "version", document.version }, { "reason", toString(*failure) } });
+            return;
+        }
+        view_.routingTable =
+            std::make_shared<const routing::RoutingTable>(std::get<routing::RoutingTable>(table));
+        view_.configurationVersion = document.version;
+        notifyConfigurationChanged();
+    }
+
+    void notifyConfigurationChanged() const
+    {
         logEvent(Event::ConfigurationApplied,
                  { { "version", view_.configurationVersion },
                    { "zonesOut", view_.zonesOutOfService.size() },
@@ -431,6 +494,10 @@
     bool active_ = true;
     // The address at which a view request is pending.
     std::optional<peer::Address> viewRequestedFrom_;
+    DocumentDownload download_;
+    // The VM that named the newest version.
+    peer::Address downloadFrom_;
+    bool chunkRequested_ = false;
     RelayList relays_;
     // The last message of the leader came through a relay.
     bool lastPathWasRelay_ = false;
--- a/src/coordination/leaderrelay.cpp
+++ b/src/coordination/leaderrelay.cpp
@@ -11,6 +11,7 @@
 // Covers the delivery of a response that the leader sends at the deadline of the request.
 constexpr Milliseconds SlotResponseMargin { 200 };
 constexpr Milliseconds ForwardedReleaseTimeout { 2000 };
+constexpr Milliseconds ForwardedChunkTimeout { 1000 };
 // Bounds the processor time that this VM spends on the calls of others.
 constexpr std::size_t MaxServedVms = 24;
 // A VM without a view request for this long has found another way to the leader.
@@ -39,6 +40,12 @@
                 const Duration timeout = Milliseconds(request.deadline_ms()) + SlotResponseMargin;
                 forward<wire::SlotAnswer>(Method::AcquireSlot, request, timeout, respond);
             });
+        server.registerTypedHandler<wire::DocumentRequest, wire::DocumentChunk>(
+            Method::DownloadDocument, Role::Vm,
+            [this](const Caller &, const wire::DocumentRequest &request, auto respond) {
+                forward<wire::DocumentChunk>(Method::DownloadDocument, request,
+                                             ForwardedChunkTimeout, respond);
+            });
         server.registerTypedHandler<wire::SlotRelease, wire::Empty>(
             Method::ReleaseSlot, Role::Vm,
             [this](const Caller &, const wire::SlotRelease &release, auto respond) {
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -66,6 +66,7 @@
     AcquireSlot,
     ReleaseSlot,
     Join,
+    DownloadDocument,
 };
 
 // Returns the name of `method` as used in request paths, logs and metrics.
