--- a/src/coordination/documentdownload.cpp
+++ b/src/coordination/documentdownload.cpp
@@ -71,7 +71,7 @@
     if (XXH3_64bits(text.data(), text.size()) != update.checksum()) {
         return fail(ResultCode::PeerProtocol, "the checksum of the document does not match");
     }
-    return ConfigurationDocument { version_, std::move(text) };
+    return ConfigurationDocument { version_, std::move(text), received_.size() };
 }
 
 } // namespace daisyhaven::coordination
--- a/src/coordination/documents_test.cpp
+++ b/src/coordination/documents_test.cpp
@@ -235,7 +235,7 @@
     DocumentHistory history;
     history.add(1, "one");
     DocumentDownload download;
-    download.hold({ 1, "one" });
+    download.hold({ 1, "one", 3 });
     download.want(2);
     const auto behind =
         attempt([&] { return download.add(history.chunk(download.nextRequest())); });
@@ -246,7 +246,7 @@
     const auto current =
         attempt([&] { return download.add(history.chunk(download.nextRequest())); });
     EXPECT_EQ(std::get<std::optional<ConfigurationDocument>>(current),
-              (ConfigurationDocument { 2, "two" }));
+              (ConfigurationDocument { 2, "two", 0 }));
     EXPECT_FALSE(download.isNeeded());
 }
 
@@ -256,7 +256,7 @@
     history.add(1, makeDocument(1, 50));
     history.add(2, makeDocument(2, 50, 7));
     DocumentDownload download;
-    download.hold({ 1, makeDocument(1, 49) }); // not the document of version 1
+    download.hold({ 1, makeDocument(1, 49), 0 }); // not the document of version 1
     download.want(2);
     const auto damaged =
         attempt([&] { return download.add(history.chunk(download.nextRequest())); });
--- a/src/coordination/internal/documentdownload.h
+++ b/src/coordination/internal/documentdownload.h
@@ -16,6 +16,8 @@
 {
     std::uint64_t version = 0;
     std::string text;
+    // Bytes that were received for it.
+    std::size_t receivedBytes = 0;
 
     friend bool operator==(const ConfigurationDocument &a, const ConfigurationDocument &b)
     {
--- a/src/coordination/leaderclient.cpp
+++ b/src/coordination/leaderclient.cpp
@@ -412,7 +412,7 @@
         }
         // Control VMs of an earlier release send the document itself.
         if (!state.document().empty() && state.version() > view_.configurationVersion) {
-            const ConfigurationDocument document { state.version(), state.document() };
+            const ConfigurationDocument document { state.version(), state.document(), 0 };
             download_.hold(document);
             applyDocument(document);
         }
@@ -471,6 +471,10 @@
                      { { "version", document.version }, { "reason", toString(*failure) } });
             return;
         }
+        logEvent(Event::ConfigurationFetched,
+                 { { "version", document.version },
+                   { "bytes", document.text.size() },
+                   { "receivedBytes", document.receivedBytes } });
         view_.routingTable =
             std::make_shared<const routing::RoutingTable>(std::get<routing::RoutingTable>(table));
         view_.configurationVersion = document.version;
