--- a/src/coordination/leaderclient.cpp
+++ b/src/coordination/leaderclient.cpp
@@ -18,9 +18,6 @@
 constexpr Milliseconds ProbePeriod { 100 };
 constexpr Milliseconds ReleaseTimeout { 2000 };
 constexpr Milliseconds ChunkTimeout { 1500 };
-// While newer versions exist already, a received one is put in force at most once in this time:
-// parsing a large document takes a considerable part of a small VM's processor.
-constexpr Milliseconds SupersededApplyPeriod { 600 };
 // A lost leader is usually replaced within this time, so relays are tried only after it.
 constexpr Milliseconds RelayProbeDelay { 800 };
 constexpr std::size_t RelaysProbedAtOnce = 2;
@@ -450,11 +447,7 @@
             return;
         }
         const auto &document = std::get<std::optional<ConfigurationDocument>>(added);
-        const Instant now = timers_.now();
-        const bool superseded =
-            download_.isNeeded() && now - documentAppliedAt_ < SupersededApplyPeriod;
-        if (document && !superseded) {
-            documentAppliedAt_ = now;
+        if (document) {
             applyDocument(*document);
         }
         // Otherwise the replica does not hold the version yet, and maintain() asks again.
@@ -509,7 +502,6 @@
     // The VM that named the newest version.
     peer::Address downloadFrom_;
     bool chunkRequested_ = false;
-    Instant documentAppliedAt_;
     RelayList relays_;
     // The last message of the leader came through a relay.
     bool lastPathWasRelay_ = false;
