Limits that servers name are kept by the leader, and by VMs without one

Why it works: every request takes a slot from the leader, so one token bucket a server is exact over all VMs; limits travel with the view and a new leader starts with empty buckets; a VM without a leader sends its even share.

--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -405,7 +405,7 @@
             for (const auto &[id, server] : view.servers) {
                 directory_.restore(now, toAnnouncement(now, server));
             }
-            inheritSuspicions(now, view);
+            inheritFindings(now, view);
         }
         for (const directory::Deregistration &deregistration : state_.deregistrations()) {
             directory_.deregister(deregistration, nullptr);
@@ -413,14 +413,21 @@
         lastLedEpoch_ = runner_.replica().term();
     }
 
-    // Takes over the suspicions of the previous leader, so that no further requests have to fail
-    // before the same servers are suspected.
-    void inheritSuspicions(Instant now, const FleetView &view)
+    // Takes over the suspicions and the request limits that the previous leader knew, so that no
+    // further requests have to fail, or exceed a limit, before they are known again.
+    void inheritFindings(Instant now, const FleetView &view)
     {
         for (const auto &[id, server] : view.servers) {
             const directory::ServerEntry *entry = directory_.find(id);
-            if (server.suspected && entry != nullptr) {
-                scheduler_->addOrUpdateServer(now, toKnownServer(*entry, false).info);
+            const bool hasFinding = server.suspected || server.requestsPerSecond > 0;
+            if (!hasFinding || entry == nullptr) {
+                continue;
+            }
+            scheduler_->addOrUpdateServer(now, toKnownServer(*entry, false).info);
+            if (entry->announcement.startTimeMs == server.info.startTimeMs) {
+                scheduler_->restoreRequestLimit(now, id, server.requestsPerSecond);
+            }
+            if (server.suspected) {
                 scheduler_->restoreSuspicion(now, id);
             }
         }
@@ -727,8 +734,9 @@
         for (const std::string &id : viewChanges_.changedSince(since)) {
             const directory::ServerEntry *entry = directory_.find(id);
             if (entry != nullptr) {
-                *reply->add_changed() =
-                    toWire(now, toKnownServer(*entry, scheduler_->isSuspected(id)));
+                scheduler::KnownServer server = toKnownServer(*entry, scheduler_->isSuspected(id));
+                server.requestsPerSecond = scheduler_->requestLimit(id);
+                *reply->add_changed() = toWire(now, server);
             }
         }
     }
@@ -809,7 +817,8 @@
         } else if (message.epoch() == scheduler_->epoch()) {
             const auto outcome = static_cast<scheduler::Outcome>(std::min<std::uint32_t>(
                 message.outcome(), static_cast<std::uint32_t>(scheduler::LastOutcome)));
-            scheduler_->releaseSlot(now, message.slot(), outcome, Duration(message.latency_us()));
+            scheduler_->releaseSlot(now, message.slot(), outcome, Duration(message.latency_us()),
+                                    statementFromWire(message));
         }
         executeActions();
     }
@@ -856,6 +865,14 @@
         viewChanges_.recordChange(change.serverId);
     }
 
+    void execute(const scheduler::RequestLimitChange &change)
+    {
+        logEvent(
+            Event::ServerLimitChanged,
+            { { "server", change.serverId }, { "requestsPerSecond", change.requestsPerSecond } });
+        viewChanges_.recordChange(change.serverId);
+    }
+
     // ---- control group membership ----
 
     void reconcileMembership()
--- a/src/coordination/viewcodec.cpp
+++ b/src/coordination/viewcodec.cpp
@@ -25,6 +25,7 @@
     message.set_cold_ms(remainingMilliseconds(now, server.info.coldStartUntil));
     message.set_born(server.info.startTimeMs);
     message.set_sequence(server.announcementSequence);
+    message.set_requests_per_second(server.requestsPerSecond);
     return message;
 }
 
@@ -41,6 +42,7 @@
     server.info.startTimeMs = message.born();
     server.suspected = message.suspected();
     server.announcementSequence = message.sequence();
+    server.requestsPerSecond = message.requests_per_second();
     return server;
 }
 
@@ -91,6 +93,14 @@
     return message;
 }
 
+std::optional<scheduler::ServerStatement> statementFromWire(const wire::SlotRelease &message)
+{
+    if (!message.has_statement()) {
+        return std::nullopt;
+    }
+    return scheduler::ServerStatement { message.statement().requests_per_second() };
+}
+
 scheduler::SlotRequest fromWire(Instant now, const wire::SlotQuestion &message)
 {
     scheduler::SlotRequest request;
--- a/src/gateway/backendcall.cpp
+++ b/src/gateway/backendcall.cpp
@@ -1,5 +1,7 @@
 #include "gateway/internal/backendcall.h"
 
+#include "gateway/internal/serverstatements.h"
+
 #include <charconv>
 
 namespace daisyhaven::gateway {
@@ -189,6 +191,23 @@
     hasHead_ = true;
     headReceivedAt_ = context_.now();
     head_ = head;
+    readStatement();
+}
+
+void BackendCall::readStatement()
+{
+    if (head_.status == MisdirectedRequestStatus) {
+        return;
+    }
+    const ParsedStatement parsed = parseStatement(head_, context_.options.headers);
+    for (const std::string &header : parsed.ignoredHeaders) {
+        context_.metrics.addToCounter("daisyhaven_statements_ignored_total",
+                                      { { "header", header } });
+        logEvent(Event::ServerStatementIgnored,
+                 { { "server", slot_.server }, { "header", header } });
+    }
+    statement_ = parsed.statement;
+    context_.slots.recordStatement(slot_, *statement_);
 }
 
 void BackendCall::onBody(std::string_view data)
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -23,7 +23,6 @@
 // that start at the same time need a second to elect a leader.
 constexpr Milliseconds MaxWaitForConfiguration { 1500 };
 constexpr Milliseconds ConfigurationCheckInterval { 25 };
-constexpr int MisdirectedRequestStatus = 421;
 // Retry-After of a request that ran on no server: a retry after this time gets another server.
 constexpr Milliseconds RetryAfterNotRun { 100 };
 // Number of route priorities. A team's priority takes precedence over every route priority.
@@ -601,7 +600,7 @@
         context_.metrics.observe("daisyhaven_server_seconds", { { "service", service_ } },
                                  std::chrono::duration<double>(call_->latency()).count());
         backendTime_ += call_->latency();
-        context_.slots.release(call_->slot(), outcome, call_->latency());
+        context_.slots.release(call_->slot(), outcome, call_->latency(), call_->statement());
         call_->cancel();
         call_.reset();
     }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -37,8 +37,13 @@
     std::string team;
     // Response header that states that the server did not execute the request.
     std::string notExecuted;
+    // Response header that names the requests per second that a server accepts from all VMs.
+    std::string serverLimit;
 
-    auto tied() const { return std::tie(requestId, deadlineMs, expectedServer, team, notExecuted); }
+    auto tied() const
+    {
+        return std::tie(requestId, deadlineMs, expectedServer, team, notExecuted, serverLimit);
+    }
     friend bool operator==(const HeaderNames &a, const HeaderNames &b)
     {
         return a.tied() == b.tied();
--- a/src/gateway/internal/backendcall.h
+++ b/src/gateway/internal/backendcall.h
@@ -12,6 +12,9 @@
 
 namespace daisyhaven::gateway {
 
+// Another server than the expected one responded.
+constexpr int MisdirectedRequestStatus = 421;
+
 // Describes why an attempt ended without a complete response.
 struct CallFailure
 {
@@ -68,12 +71,15 @@
     // Time from the start until the response head was received, or until now if it was not.
     Duration latency() const;
     const Slot &slot() const { return slot_; }
+    // Returns what the server said of itself, if it has responded.
+    const std::optional<scheduler::ServerStatement> &statement() const { return statement_; }
 
 private:
     http::ClientConnection::Callbacks makeConnectionCallbacks();
     void onHead(const http::ResponseHead &head);
     void onBody(std::string_view data);
     void onEnd(bool reusable);
+    void readStatement();
     void onConnectionClosed();
     void reportFailure(const CallFailure &failure);
     void discardConnection();
@@ -85,6 +91,7 @@
     CallCallbacks callbacks_;
     std::unique_ptr<http::ClientConnection> connection_;
     http::ResponseHead head_;
+    std::optional<scheduler::ServerStatement> statement_;
     std::string body_;
     Instant startedAt_;
     Instant headReceivedAt_;
--- a/src/gateway/internal/slotclient.h
+++ b/src/gateway/internal/slotclient.h
@@ -3,6 +3,7 @@
 
 #include "coordination/coordination.h"
 #include "gateway/internal/leaderwait.h"
+#include "gateway/internal/limitshares.h"
 #include "observe/observe.h"
 #include "scheduler/scheduler.h"
 
@@ -22,6 +23,8 @@
     std::uint64_t number = 0;
     // Term of the leader that granted the slot; 0: picked locally by this VM.
     std::uint64_t epoch = 0;
+    // Start time of the server's process in Unix milliseconds, or 0 if the view does not name it.
+    std::uint64_t serverStartTimeMs = 0;
 
     bool isLocal() const { return epoch == 0; }
 };
@@ -48,7 +51,11 @@
     // once unless the request is cancelled.
     std::uint64_t requestSlot(scheduler::SlotRequest slotRequest, Callback callback);
     void cancel(std::uint64_t slotRequestId);
-    void release(const Slot &slot, scheduler::Outcome outcome, Duration latency);
+    // `statement` is what the server said of itself, if it responded.
+    void release(const Slot &slot, scheduler::Outcome outcome, Duration latency,
+                 const std::optional<scheduler::ServerStatement> &statement = std::nullopt);
+    // Records what the server said as soon as its response begins.
+    void recordStatement(const Slot &slot, const scheduler::ServerStatement &statement);
 
     // Number of slots in use by server that the leader of `epoch` did not grant.
     std::map<std::string, std::uint32_t> slotsHeldOutsideEpoch(std::uint64_t epoch) const;
@@ -88,6 +95,9 @@
     Instant lastLeaderContactAt() const;
     void processPending(std::uint64_t slotRequestId);
     void sendToLeader(std::uint64_t slotRequestId);
+    std::uint64_t startTimeOf(const std::string &server) const;
+    std::map<std::string, std::uint32_t> slotsInUseByServer() const;
+    const scheduler::KnownServer *pickServer(scheduler::SlotRequest request);
     void onLeaderResponse(std::uint64_t slotRequestId,
                           const std::variant<wire::SlotAnswer, Failure> &result);
     void onSlotGranted(std::uint64_t slotRequestId, const wire::SlotAnswer &response);
@@ -105,6 +115,7 @@
     std::uint64_t incarnation_;
     scheduler::RateTolerance rateTolerance_;
     scheduler::LocalLoadBalancer chooser_;
+    LimitShares limitShares_;
     std::uint64_t lastSlotRequestId_ = 0;
     std::map<std::uint64_t, PendingRequest> pending_;
     // Number of slots in use by epoch and server.
--- a/src/gateway/slotclient.cpp
+++ b/src/gateway/slotclient.cpp
@@ -39,7 +39,8 @@
                        std::string vm, std::uint64_t incarnation,
                        const scheduler::RateTolerance &rateTolerance)
     : timers_(timers), leader_(leader), metrics_(metrics), vm_(std::move(vm)),
-      incarnation_(incarnation), rateTolerance_(rateTolerance), chooser_(std::random_device {}())
+      incarnation_(incarnation), rateTolerance_(rateTolerance), chooser_(std::random_device {}()),
+      limitShares_(std::random_device {}())
 {
 }
 
@@ -81,6 +82,19 @@
                       [&](const auto &server) { return server.second.info.service == service; }));
 }
 
+std::uint64_t SlotClient::startTimeOf(const std::string &server) const
+{
+    const auto &servers = leader_.view().servers;
+    const auto known = servers.find(server);
+    return known == servers.end() ? 0 : known->second.info.startTimeMs;
+}
+
+void SlotClient::recordStatement(const Slot &slot, const scheduler::ServerStatement &statement)
+{
+    const Instant now = timers_.now();
+    limitShares_.recordLimit(now, slot.server, slot.serverStartTimeMs, statement.requestsPerSecond);
+}
+
 void SlotClient::processPending(std::uint64_t slotRequestId)
 {
     const auto pending = pending_.find(slotRequestId);
@@ -166,7 +180,8 @@
 
 void SlotClient::onSlotGranted(std::uint64_t slotRequestId, const wire::SlotAnswer &response)
 {
-    const Slot slot { response.server(), response.address(), response.slot(), response.epoch() };
+    const Slot slot { response.server(), response.address(), response.slot(), response.epoch(),
+                      startTimeOf(response.server()) };
     recordSlotUse(slot);
     const auto pending = pending_.find(slotRequestId);
     if (pending == pending_.end()) {
@@ -240,6 +255,28 @@
     complete(slotRequestId, result);
 }
 
+std::map<std::string, std::uint32_t> SlotClient::slotsInUseByServer() const
+{
+    std::map<std::string, std::uint32_t> inUse;
+    for (const auto &[epoch, servers] : slotsInUse_) {
+        for (const auto &[server, count] : servers) {
+            inUse[server] += count;
+        }
+    }
+    return inUse;
+}
+
+// Picks a server whose limit, if it names one, leaves this VM a request.
+const scheduler::KnownServer *SlotClient::pickServer(scheduler::SlotRequest request)
+{
+    const Instant now = timers_.now();
+    const coordination::FleetView &view = leader_.view();
+    request.excludedServers.merge(
+        limitShares_.exhaustedServers(now, lastLeaderContactAt(), request.service, view));
+    return chooser_.pickServer(now, leader_.timeSinceLeaderContact(), request, view.servers,
+                               view.zonesOutOfService, slotsInUseByServer());
+}
+
 SlotResult SlotClient::grantLocally(const scheduler::SlotRequest &slotRequest)
 {
     const Instant now = timers_.now();
@@ -253,15 +290,7 @@
     chooser_.setSharedLimits(view.entryVmCount, rateTolerance_, view.busyTeams);
     const bool needsToken = team != nullptr && !slotRequest.hasRateToken;
 
-    std::map<std::string, std::uint32_t> inUse;
-    for (const auto &[epoch, servers] : slotsInUse_) {
-        for (const auto &[server, count] : servers) {
-            inUse[server] += count;
-        }
-    }
-    const scheduler::KnownServer *server =
-        chooser_.pickServer(now, leader_.timeSinceLeaderContact(), slotRequest, view.servers,
-                            view.zonesOutOfService, inUse);
+    const scheduler::KnownServer *server = pickServer(slotRequest);
     if (server == nullptr) {
         return SlotRejection { ResultCode::NoBackendServer, LocalRetryAfter,
                                "no leader: no usable backend server in the last fleet view" };
@@ -276,7 +305,8 @@
     if (needsToken) {
         localAdmissions_[team->name].push_back(now);
     }
-    return Slot { server->info.id, server->info.address, 0, 0 };
+    limitShares_.takeRequest(now, lastLeaderContactAt(), *server, view.entryVmCount);
+    return Slot { server->info.id, server->info.address, 0, 0, server->info.startTimeMs };
 }
 
 void SlotClient::recordSlotUse(const Slot &slot)
@@ -285,7 +315,8 @@
     chooser_.serverStats().recordStart(timers_.now(), slot.server);
 }
 
-void SlotClient::release(const Slot &slot, scheduler::Outcome outcome, Duration latency)
+void SlotClient::release(const Slot &slot, scheduler::Outcome outcome, Duration latency,
+                         const std::optional<scheduler::ServerStatement> &statement)
 {
     auto &servers = slotsInUse_[slot.epoch];
     if (--servers[slot.server] == 0) {
@@ -311,6 +342,9 @@
     message.set_incarnation(incarnation_);
     message.set_outcome(static_cast<std::uint32_t>(outcome));
     message.set_latency_us(static_cast<std::uint64_t>(std::max<Duration::rep>(latency.count(), 0)));
+    if (statement) {
+        message.mutable_statement()->set_requests_per_second(statement->requestsPerSecond);
+    }
     leader_.releaseSlot(message);
 }
 
--- a/src/observe/observe.h
+++ b/src/observe/observe.h
@@ -67,6 +67,8 @@
     ServerSuspected = 1610,
     ServerCleared = 1611,
     ServerChanged = 1612,
+    ServerLimitChanged = 1613,
+    ServerStatementIgnored = 1615,
     PeerConnected = 1701,
     PeerLost = 1702,
     PeerRejected = 1703,
--- a/src/peer/address.cpp
+++ b/src/peer/address.cpp
@@ -31,10 +31,10 @@
 const char *methodName(Method method)
 {
     static constexpr std::array<const char *, 23> Names {
-        "pulse",         "hold",         "configuration", "announce",   "acquire",
-        "release",       "gather",       "summary",       "tokens",     "ledger-start",
-        "ledger-finish", "ledger-store", "ledger-copy",   "consensus",  "write",
-        "status",        "add-control",  "summaries",     "fleet-view", "acquire-slot",
+        "pulse",         "hold",         "configuration",     "announce",   "acquire",
+        "release",       "gather",       "summary",           "tokens",     "ledger-start",
+        "ledger-finish", "ledger-store", "ledger-copy",       "consensus",  "write",
+        "status",        "add-control",  "summaries",         "fleet-view", "acquire-slot",
         "release-slot",  "join",         "download-document",
     };
     return Names[static_cast<std::size_t>(method)];
--- a/src/scheduler/internal/state.h
+++ b/src/scheduler/internal/state.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "scheduler/internal/eventrate.h"
+#include "scheduler/internal/requestlimit.h"
 #include "scheduler/internal/serverhealth.h"
 #include "scheduler/internal/tokenbucket.h"
 #include "scheduler/internal/waitingqueue.h"
@@ -70,12 +71,14 @@
 struct ServerState
 {
     ServerState(ServerInfo serverInfo, Instant now)
-        : info(std::move(serverInfo)), health(now), lastGrantAt(now)
+        : info(std::move(serverInfo)), createdAt(now), health(now), lastGrantAt(now)
     {
     }
 
     ServerInfo info;
+    Instant createdAt;
     ServerHealth health;
+    RequestLimit requestLimit;
     TokenBucket coldStartLimiter;
     // The zone's evacuation ended. The server may have become cold in the meantime, so it counts as
     // warming up until then.
@@ -130,6 +133,7 @@
 
     // Updated by the last call of updateServerCounts().
     std::uint32_t usableSlots = 0;
+    double requestsPerSecondCapacity = 0;
     std::uint32_t serversInService = 0;
     // Too few servers are trusted, so the least suspected of the others are used as well.
     bool usesSuspectedServers = false;
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -222,6 +222,8 @@
         removeServer(info.id);
         ServiceState &service = getOrCreateService(info.service);
         auto server = std::make_unique<ServerState>(info, now);
+        server->requestLimit.setReservedShare(now,
+                                              unreachableVmShare_ * UnreachableVmShareFraction);
         server->coldStartLimiter = internal::TokenBucket(service.coldRequestsPerSecond,
                                                          ColdStartBurst, ColdStartBurst, now);
         servers_[info.id] = server.get();
@@ -254,6 +256,16 @@
     updateSuspicion(now, *known->second, "suspected by the previous leader");
 }
 
+void Scheduler::restoreRequestLimit(Instant now, const std::string &id, double requestsPerSecond)
+{
+    const auto known = servers_.find(id);
+    if (known != servers_.end()) {
+        // The previous leader may have granted all of it.
+        known->second->requestLimit.record(now, requestsPerSecond);
+        known->second->requestLimit.takeChange();
+    }
+}
+
 void Scheduler::setExternalSlots(Instant now, const std::string &vm,
                                  const std::map<std::string, std::uint32_t> &slotsByServer)
 {
@@ -346,6 +358,9 @@
     if (server.inFlightCount() >= server.info.slots || now < server.shedBackoffUntil) {
         return false;
     }
+    if (!server.requestLimit.allowsRequest(now)) {
+        return false;
+    }
     return !server.isWarmingUp(now) || server.coldStartLimiter.refillAndCheck(1, now);
 }
 
@@ -461,6 +476,7 @@
     if (server.isWarmingUp(now)) {
         server.coldStartLimiter.tryTake(1, now);
     }
+    server.requestLimit.takeRequest(now);
     ++server.grantedSlots;
     server.lastGrantAt = now;
     const std::uint64_t slotId = ++lastSlotId_;
@@ -494,7 +510,7 @@
     if (service.usableSlots == 0) {
         return MaxRetryAfter;
     }
-    const double capacity = service.usableSlots * 1e6 / service.microsecondsPerRequest;
+    const double capacity = service.requestsPerSecondCapacity;
     const double left =
         std::max(capacity - service.requestRates.higherPriorityPerSecond(now, priority),
                  capacity * MinCapacityFraction);
@@ -586,7 +602,24 @@
     grantedSlots_.erase(grantedSlot);
 }
 
-void Scheduler::releaseSlot(Instant now, std::uint64_t slotId, Outcome outcome, Duration latency)
+// A statement made before the server restarted says nothing about the new process.
+void Scheduler::recordStatement(Instant now, const GrantedSlot &slot,
+                                const ServerStatement &statement)
+{
+    const auto known = servers_.find(slot.serverId);
+    if (known == servers_.end() || slot.grantedAt < known->second->createdAt) {
+        return;
+    }
+    ServerState &server = *known->second;
+    server.requestLimit.record(now, statement.requestsPerSecond);
+    if (server.requestLimit.takeChange()) {
+        actions_.emplace_back(
+            RequestLimitChange { server.info.id, server.requestLimit.perSecond() });
+    }
+}
+
+void Scheduler::releaseSlot(Instant now, std::uint64_t slotId, Outcome outcome, Duration latency,
+                            const std::optional<ServerStatement> &statement)
 {
     const auto found = grantedSlots_.find(slotId);
     if (found == grantedSlots_.end()) {
@@ -611,7 +644,13 @@
     if (lost) {
         service.lostRate.record(now);
     }
+    if (statement) {
+        recordStatement(now, grantedSlot, *statement);
+    }
     const auto known = servers_.find(grantedSlot.serverId);
+    if (known != servers_.end() && outcome == Outcome::NotSent) {
+        known->second->requestLimit.returnRequest(now);
+    }
     if (known != servers_.end() && !isInconclusive(outcome)) {
         ServerState &server = *known->second;
         const double ratio =
@@ -696,6 +735,7 @@
     std::uint32_t inService = 0;
     std::uint32_t reached = 0;
     std::uint32_t slots = 0;
+    double capacity = 0;
     for (auto &[id, server] : service.servers) {
         if (!isInService(*server)) {
             continue;
@@ -704,13 +744,21 @@
         reached += now - server->lastGrantAt < FloorWindow ? 1 : 0;
         const double failureProbability = server->health.failureProbability(now);
         trusted += failureProbability < TrustThreshold ? 1 : 0;
-        slots += failureProbability < SuspicionThreshold ? server->info.slots : 0;
+        if (failureProbability >= SuspicionThreshold) {
+            continue;
+        }
+        slots += server->info.slots;
+        const double bySlots = server->info.slots * 1e6 / service.microsecondsPerRequest;
+        capacity += server->requestLimit.isActive()
+            ? std::min(bySlots, server->requestLimit.grantedPerSecond())
+            : bySlots;
     }
     service.serversInService = inService;
     const double floor = limits_.floorShare * inService;
     const bool belowFloor = reached < floor && service.lostShare(now) > LossThresholdForFloor;
     service.usesSuspectedServers = trusted < floor * RelaxedFloorFraction || belowFloor;
     service.usableSlots = slots;
+    service.requestsPerSecondCapacity = capacity;
 }
 
 void Scheduler::tick(Instant now)
@@ -733,6 +781,12 @@
     return known != servers_.end() && known->second->suspected;
 }
 
+double Scheduler::requestLimit(const std::string &server) const
+{
+    const auto known = servers_.find(server);
+    return known == servers_.end() ? 0 : known->second->requestLimit.perSecond();
+}
+
 std::set<std::string> Scheduler::busyTeams(Instant now) const
 {
     return rateLimiter_->busyTeams(now);
@@ -740,7 +794,14 @@
 
 void Scheduler::setUnreachableVmShare(Instant now, double share)
 {
+    if (share == unreachableVmShare_) {
+        return;
+    }
+    unreachableVmShare_ = share;
     rateLimiter_->reserveShareForOthers(now, share * UnreachableVmShareFraction);
+    for (auto &[id, server] : servers_) {
+        server->requestLimit.setReservedShare(now, share * UnreachableVmShareFraction);
+    }
 }
 
 std::uint32_t Scheduler::inFlightCount(const std::string &server) const
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -29,6 +29,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -54,6 +55,19 @@
 };
 constexpr Outcome LastOutcome = Outcome::WrongServer;
 
+// What a backend server says of itself in a response.
+struct ServerStatement
+{
+    // Requests per second that the server accepts from all VMs together; 0 if it names no limit.
+    double requestsPerSecond = 0;
+
+    auto tied() const { return std::tie(requestsPerSecond); }
+    friend bool operator==(const ServerStatement &a, const ServerStatement &b)
+    {
+        return a.tied() == b.tied();
+    }
+};
+
 // A backend server that may receive requests.
 struct ServerInfo
 {
@@ -148,7 +162,14 @@
     std::string cause;
 };
 
-using Action = std::variant<Grant, Rejection, SuspicionChange>;
+// The limit that a server names has changed; 0: it names none any more.
+struct RequestLimitChange
+{
+    std::string serverId;
+    double requestsPerSecond = 0;
+};
+
+using Action = std::variant<Grant, Rejection, SuspicionChange, RequestLimitChange>;
 
 // Limits that hold over all VMs together.
 struct Limits
@@ -201,6 +222,8 @@
     void removeServer(const std::string &id);
     // The previous leader suspected the server, so it starts as if this leader had seen it fail.
     void restoreSuspicion(Instant now, const std::string &id);
+    // The previous leader knew of this limit of the server.
+    void restoreRequestLimit(Instant now, const std::string &id, double requestsPerSecond);
     // Sets the slots that a VM holds and this scheduler did not grant.
     void setExternalSlots(Instant now, const std::string &vm,
                           const std::map<std::string, std::uint32_t> &slotsByServer);
@@ -211,13 +234,17 @@
     void requestSlot(Instant now, SlotRequest request);
     void cancelRequest(Instant now, const SlotRequestKey &key);
     // Ends the use of a slot. Unknown slots are ignored, since messages may be late or duplicated.
-    void releaseSlot(Instant now, std::uint64_t slotId, Outcome outcome, Duration latency);
+    // `statement` is what the server said of itself, if it responded.
+    void releaseSlot(Instant now, std::uint64_t slotId, Outcome outcome, Duration latency,
+                     const std::optional<ServerStatement> &statement = std::nullopt);
     // Performs work that is due. Call about every 20 ms.
     void tick(Instant now);
 
     std::vector<Action> takeActions();
     std::uint64_t epoch() const { return epoch_; }
     bool isSuspected(const std::string &server) const;
+    // Returns the limit that the server names, in requests per second; 0 if it names none.
+    double requestLimit(const std::string &server) const;
     // Teams whose requests reach most of their rates.
     std::set<std::string> busyTeams(Instant now) const;
     // Sets the share of the entry VMs that this leader cannot reach. They admit requests by
@@ -273,6 +300,7 @@
     void reject(Instant now, const SlotRequest &request, ResultCode code, Duration retryAfter,
                 std::string reason);
     void freeSlot(std::uint64_t slotId);
+    void recordStatement(Instant now, const GrantedSlot &slot, const ServerStatement &statement);
     void checkOverdueSlots(Instant now);
     void updateTypicalLatency(const std::string &route, Duration latency);
     double typicalLatency(const std::string &route) const;
@@ -296,6 +324,7 @@
     std::map<std::string, RouteLatency> routeLatencies_;
     std::unique_ptr<internal::TeamRateLimiter> rateLimiter_;
     std::unique_ptr<internal::CrashRecords> crashRecords_;
+    double unreachableVmShare_ = 0;
     std::uint64_t lastSlotId_ = 0;
     std::uint64_t lastSelection_ = 0;
     std::vector<Action> actions_;
@@ -318,6 +347,8 @@
 {
     ServerInfo info;
     bool suspected = false;
+    // Requests per second that the server accepts from all VMs together; 0: no limit is known.
+    double requestsPerSecond = 0;
     // Sequence number of the server's last announcement.
     std::uint64_t announcementSequence = 0;
 };
