Servers that leave, or ask a VM for no requests, get none from it

Change: each VM keeps by itself what a server told it, for the process (start time) that said so, with or without a leader; a slot that the leader granted meanwhile is given back. The leader takes a leaving server out for all VMs, as if it had announced that itself. If every server wants nothing, the request is refused at once with the time until the first one may be asked, unless it can wait that long within its target.

--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -873,6 +873,13 @@
         viewChanges_.recordChange(change.serverId);
     }
 
+    // Confirms the departure to all VMs as if the server had announced it.
+    void execute(const scheduler::LeavingServer &leaving)
+    {
+        proposeDeregistration({ leaving.serverId, leaving.startTimeMs, false },
+                              [](const ChangeOutcome &) {});
+    }
+
     // ---- control group membership ----
 
     void reconcileMembership()
--- a/src/coordination/viewcodec.cpp
+++ b/src/coordination/viewcodec.cpp
@@ -80,6 +80,7 @@
     message.set_slot(grant.slotId);
     message.set_server(grant.serverId);
     message.set_address(grant.address);
+    message.set_born(grant.serverStartTimeMs);
     return message;
 }
 
@@ -98,7 +99,9 @@
     if (!message.has_statement()) {
         return std::nullopt;
     }
-    return scheduler::ServerStatement { message.statement().requests_per_second() };
+    const wire::ServerStatement &statement = message.statement();
+    return scheduler::ServerStatement { statement.leaving(), Duration(0),
+                                        statement.requests_per_second() };
 }
 
 scheduler::SlotRequest fromWire(Instant now, const wire::SlotQuestion &message)
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -37,12 +37,15 @@
     std::string team;
     // Response header that states that the server did not execute the request.
     std::string notExecuted;
+    // Response header in which a server says that it leaves.
+    std::string serverLeaving;
     // Response header that names the requests per second that a server accepts from all VMs.
     std::string serverLimit;
 
     auto tied() const
     {
-        return std::tie(requestId, deadlineMs, expectedServer, team, notExecuted, serverLimit);
+        return std::tie(requestId, deadlineMs, expectedServer, team, notExecuted, serverLeaving,
+                        serverLimit);
     }
     friend bool operator==(const HeaderNames &a, const HeaderNames &b)
     {
--- a/src/gateway/internal/slotclient.h
+++ b/src/gateway/internal/slotclient.h
@@ -4,6 +4,7 @@
 #include "coordination/coordination.h"
 #include "gateway/internal/leaderwait.h"
 #include "gateway/internal/limitshares.h"
+#include "gateway/internal/serverrestrictions.h"
 #include "observe/observe.h"
 #include "scheduler/scheduler.h"
 
@@ -23,7 +24,7 @@
     std::uint64_t number = 0;
     // Term of the leader that granted the slot; 0: picked locally by this VM.
     std::uint64_t epoch = 0;
-    // Start time of the server's process in Unix milliseconds, or 0 if the view does not name it.
+    // Start time of the server's process in Unix milliseconds.
     std::uint64_t serverStartTimeMs = 0;
 
     bool isLocal() const { return epoch == 0; }
@@ -95,6 +96,11 @@
     Instant lastLeaderContactAt() const;
     void processPending(std::uint64_t slotRequestId);
     void sendToLeader(std::uint64_t slotRequestId);
+    std::optional<Instant> blockedUntil(const std::string &service) const;
+    std::set<std::string> blockedServers(const std::string &service) const;
+    bool isBlocked(const Slot &slot) const;
+    void rejectBlocked(std::uint64_t slotRequestId, Instant blockedUntil);
+    void requestOtherServer(std::uint64_t slotRequestId, const Slot &blocked);
     std::uint64_t startTimeOf(const std::string &server) const;
     std::map<std::string, std::uint32_t> slotsInUseByServer() const;
     const scheduler::KnownServer *pickServer(scheduler::SlotRequest request);
@@ -115,6 +121,7 @@
     std::uint64_t incarnation_;
     scheduler::RateTolerance rateTolerance_;
     scheduler::LocalLoadBalancer chooser_;
+    ServerRestrictions restrictions_;
     LimitShares limitShares_;
     std::uint64_t lastSlotRequestId_ = 0;
     std::map<std::uint64_t, PendingRequest> pending_;
--- a/src/gateway/serverstatements.cpp
+++ b/src/gateway/serverstatements.cpp
@@ -9,9 +9,13 @@
 
 namespace {
 
+constexpr unsigned ServiceUnavailableStatus = 503;
+constexpr std::string_view RetryAfterHeader = "retry-after";
 constexpr double MaxRequestsPerSecond = 1e6;
 // A server that wants none still gets a request at times, which shows whether the limit is lifted.
 constexpr double MinRequestsPerSecond = 0.01;
+// A mistaken value must not exclude a server for good.
+constexpr double MaxQuietSeconds = 300;
 
 // Returns the number in a header that occurs once, or nothing if it is not a plain decimal number.
 std::optional<double> parseDecimal(const http::Headers &headers, std::string_view name)
@@ -39,10 +43,18 @@
         }
         return number;
     };
+    const std::string *leaving = head.headers.find(names.serverLeaving);
+    parsed.statement.leaving = leaving != nullptr && *leaving == "1";
     if (const auto limit = readNumber(names.serverLimit)) {
         parsed.statement.requestsPerSecond =
             std::clamp(*limit, MinRequestsPerSecond, MaxRequestsPerSecond);
     }
+    if (head.status == ServiceUnavailableStatus) {
+        if (const auto seconds = readNumber(RetryAfterHeader)) {
+            parsed.statement.quietFor = std::chrono::ceil<Duration>(
+                std::chrono::duration<double>(std::min(*seconds, MaxQuietSeconds)));
+        }
+    }
     return parsed;
 }
 
--- a/src/gateway/serverstatements_test.cpp
+++ b/src/gateway/serverstatements_test.cpp
@@ -26,6 +26,7 @@
 TEST_P(ServerStatements, AreReadFromResponses)
 {
     HeaderNames names;
+    names.serverLeaving = "x-leaving";
     names.serverLimit = "x-limit";
     http::ResponseHead head;
     head.status = GetParam().status;
@@ -39,7 +40,12 @@
 
 scheduler::ServerStatement limited(double requestsPerSecond)
 {
-    return { requestsPerSecond };
+    return { false, Duration(0), requestsPerSecond };
+}
+
+scheduler::ServerStatement quiet(Duration duration)
+{
+    return { false, duration, 0 };
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -54,7 +60,14 @@
         StatementCase { "notANumber", 200, { { "X-Limit", "nan" } }, {}, 1 },
         StatementCase { "infinite", 200, { { "X-Limit", "inf" } }, {}, 1 },
         StatementCase { "trailingText", 200, { { "X-Limit", "5/s" } }, {}, 1 },
-        StatementCase { "twice", 200, { { "X-Limit", "5" }, { "X-Limit", "6" } }, {}, 1 }),
+        StatementCase { "twice", 200, { { "X-Limit", "5" }, { "X-Limit", "6" } }, {}, 1 },
+        StatementCase { "leaving", 500, { { "X-Leaving", "1" } }, { true, Duration(0), 0 } },
+        StatementCase { "notLeaving", 200, { { "X-Leaving", "0" } }, {} },
+        StatementCase { "quiet", 503, { { "Retry-After", "1.5" } }, quiet(Milliseconds(1500)) },
+        StatementCase { "quietForLong", 503, { { "Retry-After", "9999" } }, quiet(Seconds(300)) },
+        StatementCase {
+            "quietUntilDate", 503, { { "Retry-After", "Wed, 21 Oct 2026 07:28:00 GMT" } }, {}, 1 },
+        StatementCase { "retryAfterOfSuccess", 200, { { "Retry-After", "2" } }, {} }),
     [](const auto &info) { return std::string(info.param.name); });
 
 } // namespace
--- a/src/gateway/slotclient.cpp
+++ b/src/gateway/slotclient.cpp
@@ -19,6 +19,7 @@
 constexpr Milliseconds InitialPathBackoff { 2000 };
 constexpr Milliseconds MaxPathBackoff { 8000 };
 constexpr Milliseconds LocalRetryAfter { 500 };
+constexpr Milliseconds MaxBlockedRetryAfter { 3000 };
 constexpr std::size_t MaxConnectedReported = 32;
 
 std::uint32_t millisecondsUntil(Instant now, Instant until)
@@ -49,8 +50,9 @@
     const std::uint64_t slotRequestId = ++lastSlotRequestId_;
     slotRequest.key = { vm_, incarnation_, slotRequestId };
     const WaitingRequest waiting { timers_.now(), slotRequest.targetTime, slotRequest.deadline };
+    const bool blocked = blockedUntil(slotRequest.service).has_value();
     pending_[slotRequestId] = { std::move(slotRequest), std::move(callback), waiting, false };
-    if (isLeaderResponsive()) {
+    if (isLeaderResponsive() && !blocked) {
         sendToLeader(slotRequestId);
     } else {
         timers_.post([this, slotRequestId] { processPending(slotRequestId); });
@@ -89,10 +91,53 @@
     return known == servers.end() ? 0 : known->second.info.startTimeMs;
 }
 
+std::optional<Instant> SlotClient::blockedUntil(const std::string &service) const
+{
+    return restrictions_.blockedUntil(timers_.now(), service, leader_.view().servers);
+}
+
+std::set<std::string> SlotClient::blockedServers(const std::string &service) const
+{
+    return restrictions_.blockedServers(timers_.now(), service, leader_.view().servers);
+}
+
+bool SlotClient::isBlocked(const Slot &slot) const
+{
+    return restrictions_.isBlocked(timers_.now(), slot.server, slot.serverStartTimeMs);
+}
+
 void SlotClient::recordStatement(const Slot &slot, const scheduler::ServerStatement &statement)
 {
     const Instant now = timers_.now();
     limitShares_.recordLimit(now, slot.server, slot.serverStartTimeMs, statement.requestsPerSecond);
+    const bool isNew = restrictions_.record(now, slot.server, slot.serverStartTimeMs, statement);
+    if (isNew) {
+        logEvent(Event::ServerStatementHeard,
+                 { { "server", slot.server },
+                   { "leaving", statement.leaving ? "yes" : "no" },
+                   { "quietMs", statement.quietFor.count() / 1000 } });
+    }
+}
+
+// Every server of the service has asked this VM for no requests until `blockedUntil`. Rejects the
+// request unless it can wait for that long.
+void SlotClient::rejectBlocked(std::uint64_t slotRequestId, Instant blockedUntil)
+{
+    if (blockedUntil < pending_.at(slotRequestId).waiting.target) {
+        return;
+    }
+    complete(slotRequestId,
+             SlotRejection { ResultCode::NoBackendServer,
+                             std::min<Duration>(blockedUntil - timers_.now(), MaxBlockedRetryAfter),
+                             "every backend server has asked this VM for no requests" });
+}
+
+// The server asked for no requests after this request was sent to the leader.
+void SlotClient::requestOtherServer(std::uint64_t slotRequestId, const Slot &blocked)
+{
+    release(blocked, scheduler::Outcome::NotSent, Duration(0));
+    pending_.at(slotRequestId).sentToLeader = false;
+    processPending(slotRequestId);
 }
 
 void SlotClient::processPending(std::uint64_t slotRequestId)
@@ -101,6 +146,10 @@
     if (pending == pending_.end() || pending->second.sentToLeader) {
         return;
     }
+    if (const auto until = blockedUntil(pending->second.slotRequest.service)) {
+        rejectBlocked(slotRequestId, *until);
+        return;
+    }
     const bool leaderResponsive = isLeaderResponsive();
     const LeaderState leaderState { leaderResponsive, leader_.timeSinceLeaderContact(),
                                     leaderResponsive
@@ -138,7 +187,9 @@
     message.set_target_ms(millisecondsUntil(now, slotRequest.targetTime));
     message.set_availability_zone(slotRequest.zone);
     message.set_fingerprint(slotRequest.fingerprint);
-    for (const std::string &server : slotRequest.excludedServers) {
+    std::set<std::string> excludedServers = blockedServers(slotRequest.service);
+    excludedServers.insert(slotRequest.excludedServers.begin(), slotRequest.excludedServers.end());
+    for (const std::string &server : excludedServers) {
         message.add_avoid(server);
     }
     std::size_t reported = 0;
@@ -180,14 +231,20 @@
 
 void SlotClient::onSlotGranted(std::uint64_t slotRequestId, const wire::SlotAnswer &response)
 {
+    const std::uint64_t startTimeMs =
+        response.born() != 0 ? response.born() : startTimeOf(response.server());
     const Slot slot { response.server(), response.address(), response.slot(), response.epoch(),
-                      startTimeOf(response.server()) };
+                      startTimeMs };
     recordSlotUse(slot);
     const auto pending = pending_.find(slotRequestId);
     if (pending == pending_.end()) {
         release(slot, scheduler::Outcome::NotSent, Duration(0));
         return;
     }
+    if (isBlocked(slot)) {
+        requestOtherServer(slotRequestId, slot);
+        return;
+    }
     if (!pending->second.slotRequest.hasRateToken) {
         chooser_.recordLeaderAdmission(timers_.now(), pending->second.slotRequest.team);
     }
@@ -266,11 +323,13 @@
     return inUse;
 }
 
-// Picks a server whose limit, if it names one, leaves this VM a request.
+// Picks a server that has not asked this VM for no requests and whose limit, if it names one,
+// leaves this VM a request.
 const scheduler::KnownServer *SlotClient::pickServer(scheduler::SlotRequest request)
 {
     const Instant now = timers_.now();
     const coordination::FleetView &view = leader_.view();
+    request.excludedServers.merge(blockedServers(request.service));
     request.excludedServers.merge(
         limitShares_.exhaustedServers(now, lastLeaderContactAt(), request.service, view));
     return chooser_.pickServer(now, leader_.timeSinceLeaderContact(), request, view.servers,
@@ -343,6 +402,7 @@
     message.set_outcome(static_cast<std::uint32_t>(outcome));
     message.set_latency_us(static_cast<std::uint64_t>(std::max<Duration::rep>(latency.count(), 0)));
     if (statement) {
+        message.mutable_statement()->set_leaving(statement->leaving);
         message.mutable_statement()->set_requests_per_second(statement->requestsPerSecond);
     }
     leader_.releaseSlot(message);
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -198,6 +198,8 @@
           "What a backend server says of itself changed." },
         { Event::ServerLimitChanged, "ServerLimitChanged", "info",
           "The limit that a backend server names has changed; 0: it names none." },
+        { Event::ServerStatementHeard, "ServerStatementHeard", "info",
+          "A backend server told this VM that it leaves, or wants nothing for a while." },
         { Event::ServerStatementIgnored, "ServerStatementIgnored", "warn",
           "A header in which a backend server speaks of itself has no valid value." },
         { Event::PeerConnected, "PeerConnected", "info",
--- a/src/observe/observe.h
+++ b/src/observe/observe.h
@@ -68,6 +68,7 @@
     ServerCleared = 1611,
     ServerChanged = 1612,
     ServerLimitChanged = 1613,
+    ServerStatementHeard = 1614,
     ServerStatementIgnored = 1615,
     PeerConnected = 1701,
     PeerLost = 1702,
--- a/src/scheduler/internal/state.h
+++ b/src/scheduler/internal/state.h
@@ -79,6 +79,8 @@
     Instant createdAt;
     ServerHealth health;
     RequestLimit requestLimit;
+    // The server said in a response that it leaves.
+    bool leaving = false;
     TokenBucket coldStartLimiter;
     // The zone's evacuation ended. The server may have become cold in the meantime, so it counts as
     // warming up until then.
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -349,7 +349,7 @@
 
 bool Scheduler::isInService(const ServerState &server) const
 {
-    return !server.info.draining && !server.addressReassigned
+    return !server.info.draining && !server.leaving && !server.addressReassigned
         && evacuatedZones_.count(server.info.zone) == 0;
 }
 
@@ -492,7 +492,8 @@
     grantedSlot.expiresAt = request.deadline + SlotExpiryGrace;
     grantedSlots_[slotId] = std::move(grantedSlot);
     slotIdsByKey_[request.key] = slotId;
-    actions_.emplace_back(Grant { request.key, slotId, server.info.id, server.info.address });
+    actions_.emplace_back(Grant { request.key, slotId, server.info.id, server.info.address,
+                                  server.info.startTimeMs });
 }
 
 // ---- waiting requests ----
@@ -616,6 +617,10 @@
         actions_.emplace_back(
             RequestLimitChange { server.info.id, server.requestLimit.perSecond() });
     }
+    if (statement.leaving && !server.leaving) {
+        server.leaving = true;
+        actions_.emplace_back(LeavingServer { server.info.id, server.info.startTimeMs });
+    }
 }
 
 void Scheduler::releaseSlot(Instant now, std::uint64_t slotId, Outcome outcome, Duration latency,
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -58,10 +58,14 @@
 // What a backend server says of itself in a response.
 struct ServerStatement
 {
+    // The server stops soon and wants no new requests.
+    bool leaving = false;
+    // The server wants no requests from the VM that it responded to for this time.
+    Duration quietFor { 0 };
     // Requests per second that the server accepts from all VMs together; 0 if it names no limit.
     double requestsPerSecond = 0;
 
-    auto tied() const { return std::tie(requestsPerSecond); }
+    auto tied() const { return std::tie(leaving, quietFor, requestsPerSecond); }
     friend bool operator==(const ServerStatement &a, const ServerStatement &b)
     {
         return a.tied() == b.tied();
@@ -142,6 +146,8 @@
     std::uint64_t slotId = 0;
     std::string serverId;
     std::string address;
+    // Start time of the server's process in Unix milliseconds.
+    std::uint64_t serverStartTimeMs = 0;
 };
 
 struct Rejection
@@ -169,7 +175,14 @@
     double requestsPerSecond = 0;
 };
 
-using Action = std::variant<Grant, Rejection, SuspicionChange, RequestLimitChange>;
+// A server said in a response that it leaves.
+struct LeavingServer
+{
+    std::string serverId;
+    std::uint64_t startTimeMs = 0;
+};
+
+using Action = std::variant<Grant, Rejection, SuspicionChange, RequestLimitChange, LeavingServer>;
 
 // Limits that hold over all VMs together.
 struct Limits
