Soak: servers name limits, ask for quiet and leave without an announcement

The oracle holds what each entry VM heard against what it sent afterwards; a restart or pause of the VM excuses it.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -29,8 +29,8 @@
         end = time.monotonic() + seconds
         kinds = (self.kill, self.pause, self.terminate, self.kill_all_controls, self.wipe, self.hang_up,
                  self.break_server, self.break_path, self.crash_server, self.replace_server, self.change,
-                 self.race, self.zone_out)
-        weights = (3, 4, 3, 1, 1, 1, 4, 4, 2, 2, 3, 1, 1)
+                 self.race, self.zone_out, self.limit_servers, self.replace_unannounced)
+        weights = (3, 4, 3, 1, 1, 1, 4, 4, 2, 2, 3, 1, 1, 2, 2)
         while time.monotonic() < end:
             fault = self.random.choices(kinds, weights)[0]
             self.tasks.append(asyncio.create_task(self._logged(fault)))
@@ -127,13 +127,29 @@
         await server.start()
         return server.id
 
+    async def limit_servers(self):
+        """Some servers name a limit, which may change once before it goes away."""
+        servers = {self._any_server() for _ in range(3)}
+        for per_second in (self.random.uniform(1, 4), self.random.choice((1.0, 6.0)), None):
+            for server in servers:
+                if server.state == "ready":
+                    server.name_limit(per_second)
+            await asyncio.sleep(self.random.uniform(4, 8) if per_second else 0)
+        return " ".join(sorted(server.id for server in servers))
+
     async def replace_server(self):
+        return await self._replace(Server.leave)
+
+    async def replace_unannounced(self):
+        return await self._replace(Server.leave_unannounced)
+
+    async def _replace(self, leave):
         old = self._any_server()
         fresh = Server(self.fleet, self.next_server, old.service, old.zone, self.random.random())
         self.next_server += 1
         await fresh.start()
         self.fleet.servers.append(fresh)
-        await old.leave()
+        await leave(old)
         old.relay.stop()
         self.fleet.servers.remove(old)
         return f"{old.id} by {fresh.id}"
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -3,6 +3,8 @@
 import collections
 import time
 
+from statements import Statements
+
 RATE_WINDOW_S = 5.0
 RATE_OVERSHOOT = 0.1
 RATE_SLACK = 20
@@ -43,6 +45,7 @@
         self.confirmed_at = 0.0
         # Server id -> time at which its draining was confirmed.
         self.leaving = {}
+        self.statements = Statements(self.fail)
         # Zone -> time at which its removal from service was confirmed.
         self.zones_out = {}
 
@@ -58,6 +61,7 @@
             return
         now = time.monotonic()
         request.arrivals.append((now, server.id))
+        self.statements.arrived(server, request)
         if "authorization" in headers:
             self.fail("keys", f"{server.id} got a caller's key with {request_id}")
         if team != request.team:
@@ -82,6 +86,7 @@
 
     def answered(self, request, status, headers, body, servers):
         request.status = status
+        self.statements.passed_on(request, headers)
         if status in (429, 503) and not request.route.repeatable and request.runs:
             self.fail("not run", f"{request.id} had run and was answered {status}")
         if 200 <= status < 300:
--- a/tests/soak/relay.py
+++ b/tests/soak/relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 
 MODES = ("delay", "reset", "silence", "one way")
 
@@ -12,6 +13,7 @@
         self.target = target
         self.random = random.Random(seed)
         self.mode = None
+        self.mode_changed_at = 0.0
         self.links = set()
         self.server = None
 
@@ -26,10 +28,15 @@
 
     def set_mode(self, mode):
         self.mode = mode
+        self.mode_changed_at = time.monotonic()
         if mode == "reset":
             for link in list(self.links):
                 link.cancel()
 
+    def disturbed_since(self, at):
+        """Returns whether data that was sent at `at` or later may have been delayed or lost."""
+        return self.mode is not None or self.mode_changed_at >= at
+
     async def _accept(self, caller_reader, caller_writer):
         link = asyncio.current_task()
         self.links.add(link)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -11,7 +11,7 @@
 
 HEARTBEAT_S = 1.0
 SLOTS = 4
-FAILURES = ("errors", "hang", "reset", "shed")
+FAILURES = ("errors", "hang", "reset", "shed", "quiet")
 
 
 class Server:
@@ -30,6 +30,8 @@
         self.sequence = 0
         self.state = "ready"
         self.failure = None
+        # Requests per second that the server names in its responses, if any.
+        self.limit = None
         self.running = 0
         self.listener = None
         self.connections = set()
@@ -40,6 +42,7 @@
         self.sequence = 0
         self.state = "ready"
         self.failure = None
+        self.limit = None
         host, port = self.address.split(":")
         self.listener = await asyncio.start_server(self._serve, host, int(port))
         if self.relay.server is None:
@@ -62,6 +65,17 @@
         await self._tell("DELETE")
         self.crash()
 
+    async def leave_unannounced(self):
+        """Says that it leaves in its responses only, keeps serving for 5 s and stops."""
+        self.state = "leaving"
+        await asyncio.sleep(5)
+        self.crash()
+
+    def name_limit(self, per_second):
+        """Names a limit in each response from now on; None: no limit."""
+        self.limit = per_second
+        self.fleet.oracle.statements.named_limit(self, per_second)
+
     async def _announce(self):
         while True:
             await self._tell("PUT")
@@ -73,7 +87,8 @@
         if method == "PUT":
             body = json.dumps({
                 "service": self.service, "address": self.relay.address, "zone": self.zone,
-                "version": "v1", "slots": SLOTS, "state": self.state, "coldRemainingMs": 0,
+                "version": "v1", "slots": SLOTS,
+                "state": "draining" if self.state == "draining" else "ready", "coldRemainingMs": 0,
                 "sequence": self.sequence, "born": self.born}).encode()
         return await self.fleet.order(method, f"/instances/{self.id}", body, attempts=4) == 200
 
@@ -99,20 +114,34 @@
         common = {"X-Daisyhaven-Request-Id": request_id,
                   "X-Daisyhaven-Upstream-Load": f"{self.running},0,{SLOTS}", "Keep-Alive": "timeout=9"}
         expected = headers.get("x-daisyhaven-expected-instance")
-        full = self.running >= SLOTS + 4 or self.failure == "shed" and self.random.random() < 0.5
+        full = self.running >= SLOTS + 4 or self.failure in ("shed", "quiet") and self.random.random() < 0.5
         if expected != self.id:
             return http1.message("HTTP/1.1 421 Misdirected", common)
+        if self.state in ("draining", "leaving"):
+            common["Server-Leaving"] = "1"
+        if self.limit is not None:
+            common["Server-Limit"] = f"{self.limit:.1f}"
         runs = not full
         self.fleet.oracle.arrived(self, request_id, path, headers.get("x-daisyhaven-tenant-id", ""),
                                   headers, body, runs)
+        if full and self.failure == "quiet":
+            return self._ask_for_quiet(request_id, common)
         if full:
             return http1.message("HTTP/1.1 503 Full", {**common, "X-Daisyhaven-Not-Executed": "full"})
         return await self._run(request_id, common)
 
+    def _ask_for_quiet(self, request_id, common):
+        seconds = round(self.random.uniform(0.8, 4), 1)
+        request = self.fleet.oracle.requests.get(request_id)
+        if request is not None:
+            self.fleet.oracle.statements.asked_for_quiet(self, request.entry, seconds)
+        return http1.message("HTTP/1.1 503 Busy", {**common, "X-Daisyhaven-Not-Executed": "busy",
+                                                   "Retry-After": str(seconds)})
+
     async def _run(self, request_id, common):
         self.running += 1
         try:
-            if self.failure and self.random.random() < 0.7:
+            if self.failure not in (None, "quiet") and self.random.random() < 0.7:
                 if self.failure == "errors":
                     return http1.message("HTTP/1.1 500 Error", common)
                 if self.failure == "hang":
