A quarantined request is tried again after 4 s and 16 s

Cause: equal requests (a page that many callers of a team read) were lost on two servers that were reset or restarted; the quarantine lasts 120 s, and as it lets nothing run, no success can end it. Why it works: two trials a quarantine; a success clears it. A request that does crash servers runs at most three times more than 3 s after its third crash. Retry-After names the time to the next trial.

--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -300,8 +300,8 @@
 
 void Scheduler::requestSlot(Instant now, SlotRequest request)
 {
-    if (crashRecords_->isQuarantined(now, request.fingerprint)) {
-        reject(now, request, ResultCode::Quarantined, Duration(0),
+    if (const auto wait = crashRecords_->tryAdmit(now, request.fingerprint)) {
+        reject(now, request, ResultCode::Quarantined, *wait,
                "the request crashed two servers");
         return;
     }
--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -4,7 +4,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
+#include <algorithm>
 #include <deque>
+#include <vector>
 
 namespace daisyhaven::scheduler {
 namespace {
@@ -508,25 +510,68 @@
     EXPECT_EQ(grantedAtOnce, sent);
 }
 
+// Sends one of a series of equal requests. Returns whether it was granted a slot.
+bool sendEqualRequest(SimulatedFleet &fleet, Outcome outcome)
+{
+    SlotRequest request = fleet.makeRequest();
+    request.fingerprint = 77;
+    const auto grants = fleet.requestSlot(request).grants;
+    if (grants.empty()) {
+        fleet.scheduler.cancelRequest(fleet.now, request.key);
+        return false;
+    }
+    fleet.scheduler.releaseSlot(fleet.now, grants.at(0).slotId, outcome, Milliseconds(5));
+    fleet.takeResponses();
+    return true;
+}
+
 TEST(CrashingRequests, AreQuarantinedAfterTwoServers)
 {
     SimulatedFleet fleet;
     fleet.addServers(5, 4);
-    for (int i = 0; i < 2; ++i) {
-        SlotRequest request = fleet.makeRequest();
-        request.fingerprint = 77;
-        const auto grants = fleet.requestSlot(request).grants;
-        ASSERT_EQ(grants.size(), 1U);
-        fleet.scheduler.releaseSlot(fleet.now, grants.at(0).slotId, Outcome::ConnectionLost,
-                                    Milliseconds(5));
-        fleet.takeResponses();
-    }
+    ASSERT_TRUE(sendEqualRequest(fleet, Outcome::ConnectionLost));
+    ASSERT_TRUE(sendEqualRequest(fleet, Outcome::ConnectionLost));
     SlotRequest request = fleet.makeRequest();
     request.fingerprint = 77;
     EXPECT_EQ(fleet.requestSlot(request).rejections.at(0).code, ResultCode::Quarantined);
     EXPECT_EQ(fleet.requestSlot(fleet.makeRequest()).grants.size(), 1U);
 }
 
+// Guards against trials of a crashing request that take down one server after the other: at most
+// three runs more than three seconds after the third crash.
+TEST(CrashingRequests, ReachFewServersInTrials)
+{
+    SimulatedFleet fleet;
+    fleet.addServers(40, 4);
+    std::vector<Instant> crashes;
+    for (int step = 0; step < 1300; ++step) {
+        if (sendEqualRequest(fleet, Outcome::ConnectionLost)) {
+            crashes.push_back(fleet.now);
+        }
+        fleet.advance(Milliseconds(100));
+    }
+    ASSERT_GE(crashes.size(), 3U);
+    const auto late = std::count_if(crashes.begin(), crashes.end(),
+                                    [&](Instant at) { return at > crashes.at(2) + Seconds(3); });
+    EXPECT_LE(late, 3);
+}
+
+// Guards against a common harmless request that is refused for minutes because two servers failed
+// while they ran it.
+TEST(CrashingRequests, HarmlessRequestIsServedAgainSoon)
+{
+    SimulatedFleet fleet;
+    fleet.addServers(5, 4);
+    ASSERT_TRUE(sendEqualRequest(fleet, Outcome::ConnectionLost));
+    ASSERT_TRUE(sendEqualRequest(fleet, Outcome::ConnectionLost));
+    int served = 0;
+    for (int step = 0; step < 100; ++step) {
+        fleet.advance(Milliseconds(100));
+        served += sendEqualRequest(fleet, Outcome::Success) ? 1 : 0;
+    }
+    EXPECT_GE(served, 50);
+}
+
 // ---- gray servers ----
 
 struct GrayCase
