--- a/src/coordination/leaderclient.cpp
+++ b/src/coordination/leaderclient.cpp
@@ -1,5 +1,5 @@
 #include "coordination/coordination.h"
-#include "coordination/internal/documentdownload.h"
+#include "coordination/internal/documentfetcher.h"
 #include "coordination/internal/relaylist.h"
 #include "coordination/internal/viewcodec.h"
 #include "observe/observe.h"
@@ -17,7 +17,6 @@
 // A control VM that knows of no leader holds the request open; one that does responds at once.
 constexpr Milliseconds ProbePeriod { 100 };
 constexpr Milliseconds ReleaseTimeout { 2000 };
-constexpr Milliseconds ChunkTimeout { 1500 };
 // A lost leader is usually replaced within this time, so relays are tried only after it.
 constexpr Milliseconds RelayProbeDelay { 800 };
 constexpr std::size_t RelaysProbedAtOnce = 2;
@@ -32,7 +31,11 @@
     Impl(TimerService &timers, peer::ClientPool &clients, LeaderClientOptions options,
          LeaderClientCallbacks callbacks)
         : timers_(timers), clients_(clients), options_(std::move(options)),
-          callbacks_(std::move(callbacks))
+          callbacks_(std::move(callbacks)),
+          documents_(
+              clients, options_.vm, options_.documentParser,
+              [this] { return leader_ ? *leader_ : documentSource_; },
+              [this](std::uint64_t version, const auto &table) { applyDocument(version, table); })
     {
         controlAddresses_.insert(options_.seeds.begin(), options_.seeds.end());
     }
@@ -149,7 +152,7 @@
         if (leader_ && viewRequestedFrom_ != leader_) {
             requestView();
         }
-        continueDownload();
+        documents_.resume();
         const Instant now = timers_.now();
         const bool unresponsive = !leader_ || now - lastContactAt_ > LeaderTimeout;
         if (unresponsive && !leaderLossLogged_) {
@@ -404,73 +407,18 @@
         view_.documentIndex = reply.document_index();
         view_.zonesOutOfService = { state.zones_out().begin(), state.zones_out().end() };
         notifyConfigurationChanged();
-        if (options_.documentParser == nullptr) {
-            return;
-        }
-        // Control VMs of an earlier release send the document itself.
+        documentSource_ = address;
         if (!state.document().empty() && state.version() > view_.configurationVersion) {
-            const ConfigurationDocument document { state.version(), state.document(), 0 };
-            download_.hold(document);
-            applyDocument(document);
-        }
-        download_.want(state.version());
-        downloadFrom_ = address;
-        continueDownload();
-    }
-
-    // Requests the next chunk, from the leader if it is known, unless a request is pending.
-    void continueDownload()
-    {
-        if (chunkRequested_ || !download_.isNeeded()) {
-            return;
+            documents_.receive({ state.version(), state.document(), 0 });
         }
-        chunkRequested_ = true;
-        wire::DocumentRequest request = download_.nextRequest();
-        request.set_vm(options_.vm);
-        const peer::Address source = leader_ ? *leader_ : downloadFrom_;
-        clients_.call<wire::DocumentChunk>(
-            source, peer::Method::DownloadDocument, request, ChunkTimeout,
-            [this](const peer::CallResult<wire::DocumentChunk> &result) {
-                chunkRequested_ = false;
-                if (const auto *chunk = std::get_if<wire::DocumentChunk>(&result)) {
-                    handleChunk(*chunk);
-                }
-            });
+        documents_.want(state.version());
     }
 
-    void handleChunk(const wire::DocumentChunk &chunk)
+    void applyDocument(std::uint64_t version,
+                       const std::shared_ptr<const routing::RoutingTable> &table)
     {
-        const auto added = attempt([&] { return download_.add(chunk); });
-        if (const auto *failure = std::get_if<Failure>(&added)) {
-            logEvent(Event::ChangeRefused,
-                     { { "version", chunk.version() }, { "reason", toString(*failure) } });
-            return;
-        }
-        const auto &document = std::get<std::optional<ConfigurationDocument>>(added);
-        if (document) {
-            applyDocument(*document);
-        }
-        // Otherwise the replica does not hold the version yet, and maintain() asks again.
-        if (document || download_.isUnderWay()) {
-            continueDownload();
-        }
-    }
-
-    void applyDocument(const ConfigurationDocument &document)
-    {
-        const auto table = attempt([&] { return options_.documentParser(document.text); });
-        if (const auto *failure = std::get_if<Failure>(&table)) {
-            logEvent(Event::ChangeRefused,
-                     { { "version", document.version }, { "reason", toString(*failure) } });
-            return;
-        }
-        logEvent(Event::ConfigurationFetched,
-                 { { "version", document.version },
-                   { "bytes", document.text.size() },
-                   { "receivedBytes", document.receivedBytes } });
-        view_.routingTable =
-            std::make_shared<const routing::RoutingTable>(std::get<routing::RoutingTable>(table));
-        view_.configurationVersion = document.version;
+        view_.routingTable = table;
+        view_.configurationVersion = version;
         notifyConfigurationChanged();
     }
 
@@ -498,10 +446,9 @@
     bool active_ = true;
     // The address at which a view request is pending.
     std::optional<peer::Address> viewRequestedFrom_;
-    DocumentDownload download_;
     // The VM that named the newest version.
-    peer::Address downloadFrom_;
-    bool chunkRequested_ = false;
+    peer::Address documentSource_;
+    DocumentFetcher documents_;
     RelayList relays_;
     // The last message of the leader came through a relay.
     bool lastPathWasRelay_ = false;
