--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -301,8 +301,7 @@
 void Scheduler::requestSlot(Instant now, SlotRequest request)
 {
     if (const auto wait = crashRecords_->tryAdmit(now, request.fingerprint)) {
-        reject(now, request, ResultCode::Quarantined, *wait,
-               "the request crashed two servers");
+        reject(now, request, ResultCode::Quarantined, *wait, "the request crashed two servers");
         return;
     }
     ServiceState &service = getOrCreateService(request.service);
