--- a/src/coordination/coordination_test.cpp
+++ b/src/coordination/coordination_test.cpp
@@ -302,6 +302,13 @@
         return nullptr;
     }
 
+    // Returns the members that the leader knows, or 0 without a leader.
+    double memberCount()
+    {
+        ControlTask *task = leader();
+        return task == nullptr ? 0 : task->metrics().at("daisyhaven_control_members");
+    }
+
     // Sends a configuration to the current leader, with retries, until it is confirmed.
     bool put(std::uint64_t version, const std::string &document)
     {
@@ -385,12 +392,8 @@
     std::filesystem::remove_all(folder_ + "/" + std::to_string(replaced));
     startReplica(replaced, false);
     // After it has rejoined, it serves the configuration when another replica is lost.
-    const auto members = [&] {
-        ControlTask *task = leader();
-        return task == nullptr ? 0 : task->metrics().at("daisyhaven_control_members");
-    };
-    ASSERT_TRUE(runUntil([&] { return members() == 2; }));
-    ASSERT_TRUE(runUntil([&] { return members() == Replicas; }));
+    ASSERT_TRUE(runUntil([&] { return memberCount() == 2; }));
+    ASSERT_TRUE(runUntil([&] { return memberCount() == Replicas; }));
     ASSERT_TRUE(put(8, "eight"));
     for (int i = 0; i < Replicas; ++i) {
         if (i != replaced) {
@@ -401,6 +404,28 @@
     EXPECT_EQ(read(), "eight");
 }
 
+// Guards against confirmed changes that are lost when a disk is lost while all VMs lose power.
+TEST_F(ControlTaskTest, WholeRestartWithALostDiskKeepsCommittedState)
+{
+    startAll();
+    for (int lost = 0; lost < Replicas; ++lost) {
+        const auto version = static_cast<std::uint64_t>(lost) + 7;
+        const std::string document = "document " + std::to_string(version);
+        ASSERT_TRUE(put(version, document));
+        for (auto &replica : replicas_) {
+            replica.reset();
+        }
+        std::filesystem::remove_all(folder_ + "/" + std::to_string(lost));
+        for (int i = 0; i < Replicas; ++i) {
+            startReplica(i, false);
+        }
+        EXPECT_EQ(read(), document) << "disk " << lost;
+        // The empty replica takes the place of its former identity before the next disk is lost.
+        ASSERT_TRUE(runUntil([&] { return memberCount() == Replicas - 1; }));
+        ASSERT_TRUE(runUntil([&] { return memberCount() == Replicas; }));
+    }
+}
+
 // The disk of the leader is full. Another replica becomes the leader, no confirmed change is lost,
 // and the replica with the full disk takes part again without a restart once space is available.
 TEST_F(ControlTaskTest, ReplicaWithFullDiskYieldsUntilSpaceIsAvailable)
