Tests listen below the kernel's range of outgoing ports

WholeRestartWithALostDisk failed once of 34 runs alone, 3 of 16 beside twelve busy processes: 'cannot listen on 127.0.0.1:35592'. The range of coordination_test reached above 32768, http_test and peer_test lay in it, and an outgoing connection held the port.

--- a/src/coordination/coordination_test.cpp
+++ b/src/coordination/coordination_test.cpp
@@ -270,7 +270,8 @@
             BOOST_LEAF_CHECK(replica->task->start());
             return true;
         });
-        ASSERT_TRUE(std::holds_alternative<bool>(started));
+        ASSERT_TRUE(std::holds_alternative<bool>(started))
+            << addressOf(index).toString() << ": " << toString(std::get<Failure>(started));
         replicas_[static_cast<std::size_t>(index)] = std::move(replica);
     }
 
@@ -345,7 +346,8 @@
 
     std::unique_ptr<event_base, EventBaseDeleter> base_;
     TimerService timers_;
-    int port_ = 20000 + (::getpid() % 2000) * 8;
+    // Below the range from which the kernel takes ports of outgoing connections.
+    int port_ = 20000 + (::getpid() % 1500) * 8;
     std::string folder_ = std::filesystem::temp_directory_path().string() + "/coordination-"
         + std::to_string(::getpid());
     std::array<std::unique_ptr<Replica>, Replicas> replicas_;
--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -22,7 +22,8 @@
 
 peer::Address testAddress()
 {
-    return { "127.0.0.1", static_cast<std::uint16_t>(38000 + ::getpid() % 2000) };
+    // Below the range from which the kernel takes ports of outgoing connections.
+    return { "127.0.0.1", static_cast<std::uint16_t>(12000 + ::getpid() % 2000) };
 }
 
 enum class ConnectionEnd { Keep, Close, Reset };
--- a/src/peer/peer_test.cpp
+++ b/src/peer/peer_test.cpp
@@ -61,7 +61,8 @@
 
 Address testAddress()
 {
-    return { "127.0.0.1", static_cast<std::uint16_t>(36000 + ::getpid() % 2000) };
+    // Below the range from which the kernel takes ports of outgoing connections.
+    return { "127.0.0.1", static_cast<std::uint16_t>(14000 + ::getpid() % 2000) };
 }
 
 // A network partition leaves connections open that carry no data. Calls whose timeout is
