--- a/src/peer/peer_test.cpp
+++ b/src/peer/peer_test.cpp
@@ -65,6 +65,14 @@
     return { "127.0.0.1", static_cast<std::uint16_t>(14000 + ::getpid() % 2000) };
 }
 
+bool listenOnTestAddress(Server &server)
+{
+    return std::holds_alternative<bool>(attempt([&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(server.listen(testAddress()));
+        return true;
+    }));
+}
+
 // A network partition leaves connections open that carry no data. Calls whose timeout is
 // shorter than the unresponsive timeout of the connection must not keep such a connection in use.
 TEST(UnresponsiveConnection, IsReplacedAfterACallTimesOut)
@@ -92,10 +100,7 @@
     const std::unique_ptr<event_base, EventBaseDeleter> base(event_base_new());
     TimerService timers(base.get());
     Server server(base.get(), unauthenticatedCredentials());
-    ASSERT_TRUE(std::holds_alternative<bool>(attempt([&]() -> Result<bool> {
-        BOOST_LEAF_CHECK(server.listen(testAddress()));
-        return true;
-    })));
+    ASSERT_TRUE(listenOnTestAddress(server));
     server.registerTypedHandler<wire::SlotRelease, wire::SlotAnswer>(
         Method::AcquireSlot, Role::Vm,
         [](const Caller &, const wire::SlotRelease &release, auto respond) {
@@ -203,10 +208,7 @@
     constexpr std::size_t MaxUnsentBytes = 128UL * 1024 * 1024 / 440;
     const std::unique_ptr<event_base, EventBaseDeleter> base(event_base_new());
     Server server(base.get(), unauthenticatedCredentials());
-    ASSERT_TRUE(std::holds_alternative<bool>(attempt([&]() -> Result<bool> {
-        BOOST_LEAF_CHECK(server.listen(testAddress()));
-        return true;
-    })));
+    ASSERT_TRUE(listenOnTestAddress(server));
     int served = 0;
     server.registerHandler(Method::FleetView, Role::Vm,
                            [&](const Caller &, const std::string &, const Responder &respond) {
@@ -237,10 +239,7 @@
     const std::unique_ptr<event_base, EventBaseDeleter> base(event_base_new());
     TimerService timers(base.get());
     Server server(base.get(), unauthenticatedCredentials());
-    ASSERT_TRUE(std::holds_alternative<bool>(attempt([&]() -> Result<bool> {
-        BOOST_LEAF_CHECK(server.listen(testAddress()));
-        return true;
-    })));
+    ASSERT_TRUE(listenOnTestAddress(server));
     server.registerTypedHandler<wire::Empty, wire::Empty>(
         Method::Join, Role::Vm,
         [](const Caller &, const wire::Empty &, auto respond) { respond(wire::Empty {}); });
