--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,6 +12,8 @@
 # Time that a control VM with a wiped disk needs to rejoin the group; no other disk is wiped
 # meanwhile.
 CATCH_UP_S = 6.0
+# Upper bound on the duration of the longest fault, including retried requests of operators.
+FAULTS_END_S = 90
 
 
 class Faults:
@@ -23,6 +25,8 @@
         self.wiped_at = -CATCH_UP_S
         self.next_server = len(fleet.servers) + 1
         self.tasks = []
+        # Names of the faults that have not ended, by task.
+        self.running = {}
         self.log = []
 
     async def run(self, seconds):
@@ -35,13 +39,17 @@
             fault = self.random.choices(kinds, weights)[0]
             self.tasks.append(asyncio.create_task(self._logged(fault)))
             await asyncio.sleep(self.random.uniform(0.1, 1.2))
-        results = await asyncio.gather(*self.tasks, return_exceptions=True)
-        for result in results:
-            if isinstance(result, Exception):
-                raise result
+        _, pending = await asyncio.wait(self.tasks, timeout=FAULTS_END_S)
+        for task in pending:
+            self.fleet.oracle.fail("faults end", f"{self.running[task]}; processes: {self.fleet.states()}")
+            task.cancel()
+        for task in self.tasks:
+            if task not in pending and task.exception() is not None:
+                raise task.exception()
 
     async def _logged(self, fault):
         started = time.monotonic()
+        self.running[asyncio.current_task()] = f"{fault.__name__} since {started:.2f}"
         what = await fault()
         self.log.append(f"{started:.2f} to {time.monotonic():.2f}: {fault.__name__} {what or ''}")
 
@@ -75,9 +83,9 @@
     async def kill_all_controls(self):
         for process in self.fleet.controls:
             process.signal(signal.SIGKILL)
+        await asyncio.gather(*(process.ended() for process in self.fleet.controls))
         await asyncio.sleep(self.random.uniform(0.05, 0.8))
         for process in self.fleet.controls:
-            await process.ended()
             process.start()
 
     async def wipe(self):
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -85,6 +85,12 @@
                 self.troubled_at.append(time.monotonic())
             self.process.send_signal(number)
 
+    def state(self):
+        if not self.running:
+            return "ended"
+        with open(f"/proc/{self.process.pid}/stat", encoding="ascii") as file:
+            return file.read().rpartition(")")[2].split()[0]
+
     def wipe(self):
         """Deletes the data folder. The process must not be running."""
         shutil.rmtree(self.data, ignore_errors=True)
@@ -147,6 +153,10 @@
             await asyncio.sleep(min(0.05 * (attempt + 1), 0.4))
         return None, b""
 
+    def states(self):
+        """Returns the scheduling state of each process, as the kernel names it; T: stopped."""
+        return " ".join(f"{process.name}={process.state()}" for process in self.controls + self.entries)
+
     # ---- operators ----
 
     async def configure(self, version, document):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -18,7 +18,7 @@
 sys.path.insert(0, os.path.dirname(os.path.abspath(__file__)))
 
 from callers import Callers, document  # noqa: E402
-from faults import Faults  # noqa: E402
+from faults import FAULTS_END_S, Faults  # noqa: E402
 from fleet import ZONES, Fleet  # noqa: E402
 from oracle import Oracle  # noqa: E402
 from servers import Server  # noqa: E402
@@ -29,8 +29,8 @@
 START_S = 15
 RECOVERY_S = 15
 SETTLED_S = 5
-# Upper bound on the duration of the longest fault, including retried requests of operators.
-FAULTS_END_S = 90
+# Time to report what has not ended.
+REPORT_S = 30
 LEAST_SERVED_AFTER_RECOVERY = 0.9
 
 
@@ -102,7 +102,7 @@
 def play_seed(seed, options):
     folder = os.path.join(options.folder, f"seed-{seed}")
     shutil.rmtree(folder, ignore_errors=True)
-    limit = START_S + options.seconds + FAULTS_END_S + RECOVERY_S + SETTLED_S
+    limit = START_S + options.seconds + FAULTS_END_S + RECOVERY_S + SETTLED_S + REPORT_S
     oracle, callers, faults = asyncio.run(asyncio.wait_for(play(seed, options, folder), limit))
     statuses = [status for _, status in callers.ends]
     served = sum(1 for status in statuses if status == 200) / max(1, len(statuses))
