--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -30,7 +30,7 @@
         self.data = os.path.join(self.folder, "data")
         self.process = None
         self.first_start = True
-        # Times at which a signal stopped, killed or paused the process.
+        # Times at which a signal stopped, killed or paused the process, and at which it was started.
         self.troubled_at = []
 
     @property
@@ -46,6 +46,7 @@
         with open(settings, "w", encoding="ascii") as file:
             file.write(self._settings())
         self.first_start = False
+        self.troubled_at.append(time.monotonic())
         with open(os.path.join(self.folder, "log"), "ab") as log:
             self.process = subprocess.Popen(
                 [self.fleet.binary, "platform", self.role], stdout=log, stderr=log,
