Reading of the change: limits that were heard are bounded where they are added; smaller repairs

- LimitShares dropped the heard limits of servers that are gone only when it chose servers, which it does without a leader alone; beside a leader they grew with every new server id.
Now when one is recorded.
No test shows the growth; found by reading.
- A delta enters the cache once it is made, so that no empty one stays if memory runs out.
Behaviour is otherwise the same: limitshares, requestlimit, scheduler, documents, coordination, relay and the fleet tests pass.

--- a/src/coordination/documentdelta.cpp
+++ b/src/coordination/documentdelta.cpp
@@ -2,7 +2,6 @@
 
 #include <zstd.h>
 
-#include <algorithm>
 #include <memory>
 #include <new>
 
--- a/src/coordination/documentfetcher.cpp
+++ b/src/coordination/documentfetcher.cpp
@@ -8,6 +8,11 @@
 
 constexpr Milliseconds ChunkTimeout { 1500 };
 
+void logRefusal(std::uint64_t version, const Failure &failure)
+{
+    logEvent(Event::ChangeRefused, { { "version", version }, { "reason", toString(failure) } });
+}
+
 } // namespace
 
 DocumentFetcher::DocumentFetcher(peer::ClientPool &clients, std::string vm,
@@ -55,8 +60,7 @@
 {
     const auto added = attempt([&] { return download_.add(chunk); });
     if (const auto *failure = std::get_if<Failure>(&added)) {
-        logEvent(Event::ChangeRefused,
-                 { { "version", chunk.version() }, { "reason", toString(*failure) } });
+        logRefusal(chunk.version(), *failure);
         return;
     }
     const auto &document = std::get<std::optional<ConfigurationDocument>>(added);
@@ -73,8 +77,7 @@
 {
     const auto table = attempt([&] { return parser_(document.text); });
     if (const auto *failure = std::get_if<Failure>(&table)) {
-        logEvent(Event::ChangeRefused,
-                 { { "version", document.version }, { "reason", toString(*failure) } });
+        logRefusal(document.version, *failure);
         return;
     }
     logEvent(Event::ConfigurationFetched,
--- a/src/coordination/documenthistory.cpp
+++ b/src/coordination/documenthistory.cpp
@@ -60,12 +60,11 @@
     }
     const Document *base = find(step.first);
     const std::string &target = find(step.second)->text;
+    std::string encoded = makeDelta(base == nullptr ? "" : base->text, target);
     dropOldUpdates();
     updateOrder_.push_back(step);
-    std::string &encoded = updates_[step];
-    encoded = makeDelta(base == nullptr ? "" : base->text, target);
     updateBytes_ += encoded.size();
-    return encoded;
+    return updates_[step] = std::move(encoded);
 }
 
 void DocumentHistory::dropOldDocuments()
--- a/src/gateway/internal/limitshares.h
+++ b/src/gateway/internal/limitshares.h
@@ -19,9 +19,9 @@
     explicit LimitShares(std::uint64_t seed) : random_(seed) { }
 
     // Records that a response of the process of `server` that started at `startTimeMs` named this
-    // limit; 0: it named none.
+    // limit; 0: it named none. Servers that `view` does not name may be forgotten.
     void recordLimit(Instant now, const std::string &server, std::uint64_t startTimeMs,
-                     double requestsPerSecond);
+                     double requestsPerSecond, const coordination::FleetView &view);
 
     // Returns the servers of `service` whose limit leaves this VM no request at `now`.
     // `lastLeaderContactAt`: what this VM heard later is newer than the view.
@@ -48,8 +48,6 @@
         Instant nextRequestAt;
     };
 
-    // Bounds the memory when servers come and go.
-    void removeUnknown(const coordination::FleetView &view);
     double currentLimit(Instant lastLeaderContactAt, const scheduler::KnownServer &server) const;
     Share &currentShare(Instant now, Instant lastLeaderContactAt, const std::string &server,
                         Duration interval);
--- a/src/gateway/limitshares.cpp
+++ b/src/gateway/limitshares.cpp
@@ -1,6 +1,6 @@
 #include "gateway/internal/limitshares.h"
 
-#include <algorithm>
+#include <iterator>
 
 namespace daisyhaven::gateway {
 
@@ -13,14 +13,29 @@
     return std::chrono::ceil<Duration>(std::chrono::duration<double>(seconds));
 }
 
+// Bounds the memory when servers come and go: once there are more entries than servers in `view`,
+// those of other servers are removed.
+template <class ByServer>
+void removeUnknown(const coordination::FleetView &view, ByServer &byServer)
+{
+    if (byServer.size() <= view.servers.size()) {
+        return;
+    }
+    for (auto entry = byServer.begin(); entry != byServer.end();) {
+        const bool known = view.servers.count(entry->first) != 0;
+        entry = known ? std::next(entry) : byServer.erase(entry);
+    }
+}
+
 } // namespace
 
 void LimitShares::recordLimit(Instant now, const std::string &server, std::uint64_t startTimeMs,
-                              double requestsPerSecond)
+                              double requestsPerSecond, const coordination::FleetView &view)
 {
     const bool unlimited = requestsPerSecond <= 0 && heardLimits_.count(server) == 0;
     if (!unlimited) {
         heardLimits_[server] = { startTimeMs, requestsPerSecond, now };
+        removeUnknown(view, heardLimits_);
     }
 }
 
@@ -28,7 +43,7 @@
                                                     const std::string &service,
                                                     const coordination::FleetView &view)
 {
-    removeUnknown(view);
+    removeUnknown(view, shares_);
     std::set<std::string> exhausted;
     for (const auto &[id, server] : view.servers) {
         if (server.info.service != service) {
@@ -57,21 +72,6 @@
     }
 }
 
-void LimitShares::removeUnknown(const coordination::FleetView &view)
-{
-    const auto remove = [&view](auto &byServer) {
-        if (byServer.size() <= view.servers.size()) {
-            return;
-        }
-        for (auto entry = byServer.begin(); entry != byServer.end();) {
-            const bool known = view.servers.count(entry->first) != 0;
-            entry = known ? std::next(entry) : byServer.erase(entry);
-        }
-    };
-    remove(heardLimits_);
-    remove(shares_);
-}
-
 double LimitShares::currentLimit(Instant lastLeaderContactAt,
                                  const scheduler::KnownServer &server) const
 {
--- a/src/gateway/limitshares_test.cpp
+++ b/src/gateway/limitshares_test.cpp
@@ -54,7 +54,7 @@
         std::vector<std::unique_ptr<LimitShares>> shares;
         for (std::size_t vm = 0; vm < test.vms; ++vm) {
             shares.push_back(std::make_unique<LimitShares>(vm + 1));
-            shares.back()->recordLimit(Start, "s1", 1, test.limit);
+            shares.back()->recordLimit(Start, "s1", 1, test.limit, view);
         }
         std::size_t most = 0;
         const Instant firstContact = Start - Milliseconds(1);
@@ -103,8 +103,8 @@
 TEST(LimitShares, RestartedServerHasNoLimit)
 {
     LimitShares shares(1);
-    shares.recordLimit(Start, "s1", 1, 0.1);
     coordination::FleetView view = makeView(10, 0);
+    shares.recordLimit(Start, "s1", 1, 0.1, view);
     EXPECT_EQ(shares.exhaustedServers(Start, Start - Seconds(1), "orders", view).size(), 1U);
     view.servers["s1"].info.startTimeMs = 2;
     EXPECT_TRUE(shares.exhaustedServers(Start, Start - Seconds(1), "orders", view).empty());
--- a/src/gateway/slotclient.cpp
+++ b/src/gateway/slotclient.cpp
@@ -109,7 +109,8 @@
 void SlotClient::recordStatement(const Slot &slot, const scheduler::ServerStatement &statement)
 {
     const Instant now = timers_.now();
-    limitShares_.recordLimit(now, slot.server, slot.serverStartTimeMs, statement.requestsPerSecond);
+    limitShares_.recordLimit(now, slot.server, slot.serverStartTimeMs, statement.requestsPerSecond,
+                             leader_.view());
     const bool isNew = restrictions_.record(now, slot.server, slot.serverStartTimeMs, statement);
     if (isNew) {
         logEvent(Event::ServerStatementHeard,
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -222,8 +222,7 @@
         removeServer(info.id);
         ServiceState &service = getOrCreateService(info.service);
         auto server = std::make_unique<ServerState>(info, now);
-        server->requestLimit.setReservedShare(now,
-                                              unreachableVmShare_ * UnreachableVmShareFraction);
+        server->requestLimit.setReservedShare(now, shareReservedForOthers_);
         server->coldStartLimiter = internal::TokenBucket(service.coldRequestsPerSecond,
                                                          ColdStartBurst, ColdStartBurst, now);
         servers_[info.id] = server.get();
@@ -798,13 +797,14 @@
 
 void Scheduler::setUnreachableVmShare(Instant now, double share)
 {
-    if (share == unreachableVmShare_) {
+    const double reserved = share * UnreachableVmShareFraction;
+    if (reserved == shareReservedForOthers_) {
         return;
     }
-    unreachableVmShare_ = share;
-    rateLimiter_->reserveShareForOthers(now, share * UnreachableVmShareFraction);
+    shareReservedForOthers_ = reserved;
+    rateLimiter_->reserveShareForOthers(now, reserved);
     for (auto &[id, server] : servers_) {
-        server->requestLimit.setReservedShare(now, share * UnreachableVmShareFraction);
+        server->requestLimit.setReservedShare(now, reserved);
     }
 }
 
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -337,7 +337,8 @@
     std::map<std::string, RouteLatency> routeLatencies_;
     std::unique_ptr<internal::TeamRateLimiter> rateLimiter_;
     std::unique_ptr<internal::CrashRecords> crashRecords_;
-    double unreachableVmShare_ = 0;
+    // Share of each limit that VMs which this leader cannot reach use.
+    double shareReservedForOthers_ = 0;
     std::uint64_t lastSlotId_ = 0;
     std::uint64_t lastSelection_ = 0;
     std::vector<Action> actions_;
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -3,7 +3,7 @@
 import collections
 import time
 
-from statements import Statements
+from statements import DRAIN_S, Statements
 
 RATE_WINDOW_S = 5.0
 RATE_OVERSHOOT = 0.1
@@ -11,7 +11,6 @@
 RETRY_WINDOW_S = 10.0
 RETRY_RATIO = 0.2
 RETRY_SLACK = 40
-DRAIN_S = 2.0
 ZONE_OUT_S = 5.0
 READ_LAG_S = 2.0
 
