--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -136,6 +136,8 @@
           "More lines were due than the limit allows; `count` were left out." },
         { Event::MemoryGrown, "MemoryGrown", "info",
           "The heap has grown; what is unsent and what the log holds." },
+        { Event::EventLoopDelayed, "EventLoopDelayed", "warn",
+          "The process received and sent nothing for this time, busy or suspended." },
         { Event::HealthChanged, "HealthChanged", "info", "The health page changed colour." },
         { Event::ConfigurationApplied, "ConfigurationApplied", "info",
           "A newer configuration is in force on this VM." },
--- a/src/observe/observe.h
+++ b/src/observe/observe.h
@@ -32,6 +32,7 @@
     SettingsReloaded = 1005,
     LogLinesDropped = 1006,
     MemoryGrown = 1007,
+    EventLoopDelayed = 1008,
     HealthChanged = 1101,
     ConfigurationApplied = 1201,
     ConfigurationStale = 1202,
--- a/src/timer/timer.cpp
+++ b/src/timer/timer.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/event.h>
 
+#include <algorithm>
 #include <ctime>
 
 namespace daisyhaven {
@@ -109,4 +110,23 @@
         heapCallback, &immediately);
 }
 
+ListeningClock::ListeningClock(TimerService &timers, DelayCallback delayed)
+    : timers_(timers), delayed_(std::move(delayed)), advancedAt_(timers.now()),
+      tick_(timers.runEvery(Period, [this] { advance(); }))
+{
+}
+
+void ListeningClock::advance()
+{
+    const Instant now = timers_.now();
+    const Duration gap = now - advancedAt_;
+    advancedAt_ = now;
+    // Timers run before the input that arrived during a long turn, so most of the turn is left out.
+    elapsed_ += std::min<Duration>(gap, 2 * Period);
+    const Duration delay = gap - Period;
+    if (delayed_ && delay > ReportedDelay) {
+        delayed_(delay);
+    }
+}
+
 } // namespace daisyhaven
--- a/src/timer/timer.h
+++ b/src/timer/timer.h
@@ -73,4 +73,35 @@
     event_base *base_;
 };
 
+// Counts the time during which an event loop was able to receive messages. While one callback takes
+// long, or the VM is suspended, nothing is received, so that time says nothing about how long
+// another process has been silent.
+class ListeningClock
+{
+public:
+    // Called after each turn of the event loop that took longer than the others by `delay`.
+    using DelayCallback = std::function<void(Duration delay)>;
+
+    explicit ListeningClock(TimerService &timers, DelayCallback delayed = nullptr);
+    ListeningClock(const ListeningClock &) = delete;
+    ListeningClock &operator=(const ListeningClock &) = delete;
+
+    // Returns the time counted so far, with a resolution of Period.
+    Duration elapsed() const { return elapsed_; }
+
+    static constexpr Milliseconds Period { 50 };
+
+private:
+    // A longer turn of the event loop is reported.
+    static constexpr Milliseconds ReportedDelay { 200 };
+
+    void advance();
+
+    TimerService &timers_;
+    DelayCallback delayed_;
+    Instant advancedAt_;
+    Duration elapsed_ { 0 };
+    TimerHandle tick_;
+};
+
 } // namespace daisyhaven
