Parse configuration documents in short turns of the event loop

What callers saw: requests reached servers that had said that they leave (DRAIN), and were late, while documents of 1,400 and more routes came in series. Cause: an entry VM parsed a document in one turn. At a tenth of a core the 900 kB of 5,600 routes are a turn of 0.75 s, whatever was received (190 bytes); between the choice of a server and the bytes to it lay one or two such turns. Change: a parse is a series of steps, one in each turn.

--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -107,7 +107,7 @@
     void putConfiguration(std::uint64_t version, const std::string &document,
                           const ChangeCallback &done)
     {
-        const auto table = attempt([&] { return options_.documentParser(document); });
+        const auto table = routing::parseCompletely(options_.documentParser(document));
         if (const auto *failure = std::get_if<Failure>(&table)) {
             logEvent(Event::ChangeRefused,
                      { { "version", version }, { "reason", toString(*failure) } });
@@ -354,7 +354,7 @@
         if (state_.document().empty()) {
             return;
         }
-        const auto table = attempt([&] { return options_.documentParser(state_.document()); });
+        const auto table = routing::parseCompletely(options_.documentParser(state_.document()));
         if (const auto *failure = std::get_if<Failure>(&table)) {
             logEvent(Event::ChangeRefused,
                      { { "version", state_.version() }, { "reason", toString(*failure) } });
--- a/src/coordination/coordination_test.cpp
+++ b/src/coordination/coordination_test.cpp
@@ -197,12 +197,14 @@
 
 // ---- control tasks in one process, over loopback ----
 
-Result<routing::RoutingTable> readEmptyTable(std::string_view document)
+routing::DocumentParse readEmptyTable(std::string document)
 {
-    if (document == "invalid") {
-        return fail(ResultCode::DeclarationInvalid, "the test document is invalid");
-    }
-    return routing::RoutingTable();
+    return [document]() -> routing::ParseProgress {
+        if (document == "invalid") {
+            return Failure { ResultCode::DeclarationInvalid, "the test document is invalid" };
+        }
+        return routing::RoutingTable();
+    };
 }
 
 struct EventBaseDeleter
--- a/src/coordination/documentfetcher.cpp
+++ b/src/coordination/documentfetcher.cpp
@@ -2,6 +2,8 @@
 
 #include "observe/observe.h"
 
+#include <utility>
+
 namespace daisyhaven::coordination {
 
 namespace {
@@ -15,10 +17,10 @@
 
 } // namespace
 
-DocumentFetcher::DocumentFetcher(peer::ClientPool &clients, std::string vm,
+DocumentFetcher::DocumentFetcher(TimerService &timers, peer::ClientPool &clients, std::string vm,
                                  routing::DocumentParser parser, Source source, Callback callback)
-    : clients_(clients), vm_(std::move(vm)), parser_(parser), source_(std::move(source)),
-      callback_(std::move(callback))
+    : timers_(timers), clients_(clients), vm_(std::move(vm)), parser_(parser),
+      source_(std::move(source)), callback_(std::move(callback))
 {
 }
 
@@ -34,13 +36,13 @@
 {
     if (parser_ != nullptr) {
         download_.hold(document);
-        parse(document);
+        startParse(document);
     }
 }
 
 void DocumentFetcher::resume()
 {
-    if (chunkRequested_ || !download_.isNeeded()) {
+    if (chunkRequested_ || parse_ || !download_.isNeeded()) {
         return;
     }
     chunkRequested_ = true;
@@ -65,28 +67,40 @@
     }
     const auto &document = std::get<std::optional<ConfigurationDocument>>(added);
     if (document) {
-        parse(*document);
-    }
-    // A replica that does not hold the version yet is not asked again at once.
-    if (document || download_.isUnderWay()) {
+        startParse(*document);
+    } else if (download_.isUnderWay()) {
+        // A replica that does not hold the version yet is not asked again at once.
         resume();
     }
 }
 
-void DocumentFetcher::parse(const ConfigurationDocument &document) const
+void DocumentFetcher::startParse(const ConfigurationDocument &document)
+{
+    parse_ = PendingParse { document.version, document.text.size(), document.receivedBytes,
+                            parser_(document.text) };
+    parseTimer_ = timers_.runAfter(Duration(0), [this] { continueParse(); });
+}
+
+void DocumentFetcher::continueParse()
 {
-    const auto table = attempt([&] { return parser_(document.text); });
-    if (const auto *failure = std::get_if<Failure>(&table)) {
-        logRefusal(document.version, *failure);
+    routing::ParseProgress progress = parse_->step();
+    if (std::holds_alternative<routing::ParsingContinues>(progress)) {
+        parseTimer_ = timers_.runAfter(Duration(0), [this] { continueParse(); });
         return;
     }
-    logEvent(Event::ConfigurationFetched,
-             { { "version", document.version },
-               { "bytes", document.text.size() },
-               { "receivedBytes", document.receivedBytes } });
-    callback_(
-        document.version,
-        std::make_shared<const routing::RoutingTable>(std::get<routing::RoutingTable>(table)));
+    const PendingParse parsed = *std::exchange(parse_, std::nullopt);
+    if (const auto *failure = std::get_if<Failure>(&progress)) {
+        logRefusal(parsed.version, *failure);
+    } else {
+        logEvent(Event::ConfigurationFetched,
+                 { { "version", parsed.version },
+                   { "bytes", parsed.bytes },
+                   { "receivedBytes", parsed.receivedBytes } });
+        callback_(parsed.version,
+                  std::make_shared<const routing::RoutingTable>(
+                      std::get<routing::RoutingTable>(std::move(progress))));
+    }
+    resume();
 }
 
 } // namespace daisyhaven::coordination
--- a/src/coordination/internal/documentfetcher.h
+++ b/src/coordination/internal/documentfetcher.h
@@ -5,10 +5,12 @@
 #include "coordination/internal/documentdownload.h"
 #include "peer/peer.h"
 #include "routing/routing.h"
+#include "timer/timer.h"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace daisyhaven::coordination {
@@ -23,8 +25,8 @@
                                         const std::shared_ptr<const routing::RoutingTable> &table)>;
 
     // A client without `parser` needs no documents and never asks for any.
-    DocumentFetcher(peer::ClientPool &clients, std::string vm, routing::DocumentParser parser,
-                    Source source, Callback callback);
+    DocumentFetcher(TimerService &timers, peer::ClientPool &clients, std::string vm,
+                    routing::DocumentParser parser, Source source, Callback callback);
 
     // Records that `version` exists, and starts its download if it is newer.
     void want(std::uint64_t version);
@@ -32,13 +34,25 @@
     // Takes a document that came with a view, as control VMs of an earlier release send it.
     void receive(const ConfigurationDocument &document);
 
-    // Requests the next chunk, unless a request is pending or nothing is needed.
+    // Requests the next chunk, unless a request is pending, a document is being parsed or nothing
+    // is needed.
     void resume();
 
 private:
     void handleChunk(const wire::DocumentChunk &chunk);
-    void parse(const ConfigurationDocument &document) const;
+    void startParse(const ConfigurationDocument &document);
+    void continueParse();
 
+    // A document that is being parsed, one step in each turn of the event loop.
+    struct PendingParse
+    {
+        std::uint64_t version = 0;
+        std::size_t bytes = 0;
+        std::size_t receivedBytes = 0;
+        routing::DocumentParse step;
+    };
+
+    TimerService &timers_;
     peer::ClientPool &clients_;
     std::string vm_;
     routing::DocumentParser parser_;
@@ -46,6 +60,8 @@
     Callback callback_;
     DocumentDownload download_;
     bool chunkRequested_ = false;
+    std::optional<PendingParse> parse_;
+    TimerHandle parseTimer_;
 };
 
 } // namespace daisyhaven::coordination
--- a/src/coordination/leaderclient.cpp
+++ b/src/coordination/leaderclient.cpp
@@ -33,7 +33,7 @@
         : timers_(timers), clients_(clients), options_(std::move(options)),
           callbacks_(std::move(callbacks)),
           documents_(
-              clients, options_.vm, options_.documentParser,
+              timers, clients, options_.vm, options_.documentParser,
               [this] { return leader_ ? *leader_ : documentSource_; },
               [this](std::uint64_t version, const auto &table) { applyDocument(version, table); })
     {
--- a/src/routing/routing.cpp
+++ b/src/routing/routing.cpp
@@ -51,12 +51,22 @@
 
 Result<RoutingTable> RoutingTable::create(RoutingTableSpec spec)
 {
-    RoutingTable table;
-    table.spec_ = std::move(spec);
-    BOOST_LEAF_CHECK(table.indexServices());
-    BOOST_LEAF_CHECK(table.indexRoutes());
-    BOOST_LEAF_CHECK(table.indexTeams());
-    return table;
+    std::vector<Route> routes = std::move(spec.routes);
+    spec.routes.clear();
+    BOOST_LEAF_AUTO(builder, RoutingTableBuilder::create(std::move(spec)));
+    for (Route &route : routes) {
+        BOOST_LEAF_CHECK(builder.addRoute(std::move(route)));
+    }
+    return builder.finish();
+}
+
+Result<RoutingTableBuilder> RoutingTableBuilder::create(RoutingTableSpec spec)
+{
+    RoutingTableBuilder builder;
+    builder.table_.spec_ = std::move(spec);
+    BOOST_LEAF_CHECK(builder.table_.indexServices());
+    BOOST_LEAF_CHECK(builder.table_.indexTeams());
+    return builder;
 }
 
 Result<void> RoutingTable::indexServices()
@@ -70,24 +80,22 @@
     return {};
 }
 
-Result<void> RoutingTable::indexRoutes()
+Result<void> RoutingTable::addRoute(Route route)
 {
-    for (std::size_t i = 0; i < spec_.routes.size(); ++i) {
-        const Route &route = spec_.routes[i];
-        BOOST_LEAF_CHECK(validateRoute(route));
-        for (const WeightedService &weightedService : route.services) {
-            if (services_.count(weightedService.service) == 0) {
-                return fail(ResultCode::DeclarationInvalid,
-                            "route " + route.name + ": unknown service " + weightedService.service);
-            }
-        }
-        PrefixIndex &prefixes = routesByHost_[normalizeHost(route.host)];
-        if (!prefixes.emplace(route.pathPrefix, i).second) {
-            return fail(ResultCode::RouteConflict,
-                        "more than one route has host " + route.host + " and path prefix "
-                            + route.pathPrefix);
+    BOOST_LEAF_CHECK(validateRoute(route));
+    for (const WeightedService &weightedService : route.services) {
+        if (services_.count(weightedService.service) == 0) {
+            return fail(ResultCode::DeclarationInvalid,
+                        "route " + route.name + ": unknown service " + weightedService.service);
         }
     }
+    PrefixIndex &prefixes = routesByHost_[normalizeHost(route.host)];
+    if (!prefixes.emplace(route.pathPrefix, spec_.routes.size()).second) {
+        return fail(ResultCode::RouteConflict,
+                    "more than one route has host " + route.host + " and path prefix "
+                        + route.pathPrefix);
+    }
+    spec_.routes.push_back(std::move(route));
     return {};
 }
 
@@ -184,4 +192,17 @@
     return state.services[best].service;
 }
 
+std::variant<RoutingTable, Failure> parseCompletely(const DocumentParse &parse)
+{
+    while (true) {
+        ParseProgress progress = parse();
+        if (auto *table = std::get_if<RoutingTable>(&progress)) {
+            return std::move(*table);
+        }
+        if (auto *failure = std::get_if<Failure>(&progress)) {
+            return std::move(*failure);
+        }
+    }
+}
+
 } // namespace daisyhaven::routing
--- a/src/routing/routing.h
+++ b/src/routing/routing.h
@@ -16,12 +16,14 @@
 #include "timer/timer.h"
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
 #include <unordered_map>
+#include <variant>
 #include <vector>
 
 namespace daisyhaven::routing {
@@ -145,10 +147,7 @@
 {
 public:
     RoutingTable() = default;
-    // Errors: DeclarationInvalid if a route has an unknown service, an empty host, a path prefix
-    // that does not begin and end with a slash, a timeout that is not positive, a negative weight
-    // or no positive weight, if two services or two teams have the same name, or if two teams share
-    // a key; RouteConflict if two routes have the same host and path prefix.
+    // Errors: those of RoutingTableBuilder.
     static Result<RoutingTable> create(RoutingTableSpec spec);
 
     // Returns the route of `host` with the longest path prefix that matches `path`, or nullptr.
@@ -162,10 +161,12 @@
     const CallerLimits &limits() const { return spec_.limits; }
 
 private:
+    friend class RoutingTableBuilder;
+
     using PrefixIndex = std::unordered_map<std::string, std::size_t>;
 
     Result<void> indexServices();
-    Result<void> indexRoutes();
+    Result<void> addRoute(Route route);
     Result<void> indexTeams();
 
     RoutingTableSpec spec_;
@@ -178,6 +179,24 @@
 // Returns the host of a Host header in lower case, without the port.
 std::string normalizeHost(std::string_view host);
 
+// Creates a RoutingTable route by route, so that a large table needs no long turn of the event
+// loop.
+class RoutingTableBuilder
+{
+public:
+    // `spec` without routes. Errors: DeclarationInvalid if two services or two teams have the same
+    // name, or if two teams share a key.
+    static Result<RoutingTableBuilder> create(RoutingTableSpec spec);
+    // Errors: DeclarationInvalid if the route has an unknown service, an empty host, a path prefix
+    // that does not begin and end with a slash, a timeout that is not positive, a negative weight
+    // or no positive weight; RouteConflict if another route has the same host and path prefix.
+    Result<void> addRoute(Route route) { return table_.addRoute(std::move(route)); }
+    RoutingTable finish() { return std::move(table_); }
+
+private:
+    RoutingTable table_;
+};
+
 // Splits the requests of each route among its services by smooth weighted round-robin: after any
 // number of requests, the split follows the weights as closely as whole requests allow.
 class WeightedServicePicker
@@ -198,7 +217,22 @@
     std::unordered_map<std::string, RoundRobinState> statesByRoute_;
 };
 
-// Parses a configuration document into a routing table. The deployment defines the format.
-using DocumentParser = Result<RoutingTable> (*)(std::string_view document);
+// More steps are needed to parse the document.
+struct ParsingContinues
+{
+};
+
+// Failures: DeclarationInvalid, RouteConflict.
+using ParseProgress = std::variant<ParsingContinues, RoutingTable, Failure>;
+
+// Performs the next step of the parsing of one document: a small part of the work, so that the
+// event loop can serve requests between two steps. Not called again after its last step.
+using DocumentParse = std::function<ParseProgress()>;
+
+// Starts to parse a configuration document. The deployment defines the format.
+using DocumentParser = DocumentParse (*)(std::string document);
+
+// Performs all steps at once.
+std::variant<RoutingTable, Failure> parseCompletely(const DocumentParse &parse);
 
 } // namespace daisyhaven::routing
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -23,7 +23,7 @@
 
 routing::RoutingTable decodeDocument()
 {
-    return std::get<routing::RoutingTable>(attempt([] { return parseConfiguration(Document); }));
+    return std::get<routing::RoutingTable>(routing::parseCompletely(parseConfiguration(Document)));
 }
 
 TEST(Configuration, DecodesIntoRoutingTable)
@@ -55,7 +55,7 @@
     std::string text = Document;
     const std::string_view known = "\"download\"";
     text.replace(text.find(known), known.size(), "\"telepathy\"");
-    const auto read = attempt([&] { return parseConfiguration(text); });
+    const auto read = routing::parseCompletely(parseConfiguration(text));
     const auto *failure = std::get_if<Failure>(&read);
     ASSERT_NE(failure, nullptr);
     EXPECT_EQ(failure->code, ResultCode::DeclarationInvalid);
@@ -82,7 +82,7 @@
 TEST_P(InvalidConfiguration, IsRejected)
 {
     const std::string text = withReplacement(GetParam(), Document);
-    const auto read = attempt([&] { return parseConfiguration(text); });
+    const auto read = routing::parseCompletely(parseConfiguration(text));
     EXPECT_TRUE(std::holds_alternative<Failure>(read));
 }
 
