A VM that was busy does not take its leader for lost

What callers saw: requests on VMs in touch went to servers of an old view (DRAIN), and waited for a leader that was there. Cause: timers run before the input that arrived during a long turn of the event loop. The class: a time-out that counts one's own pauses as the silence of another. Change: ListeningClock measures time without long turns. The loss of the leader, an unresponsive connection and the time-out of a call are judged by it; time-outs of calls are the same fault elsewhere in ClientPool. Test: coordination_test BusyClientKeepsItsLeader; with the clock returning plain time it fails (unresponsive for 1.2 s).

--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -105,7 +105,8 @@
     void setSeeds(std::vector<peer::Address> seeds);
 
     const FleetView &view() const;
-    // Returns true if the leader sent a message within the last LeaderTimeout.
+    // Returns true if the leader sent a message within the last LeaderTimeout in which this process
+    // was able to receive one.
     bool hasLeader() const;
     // Returns the address to which calls for the leader are sent: its own or that of a relay.
     std::optional<peer::Address> leader() const;
--- a/src/coordination/coordination_test.cpp
+++ b/src/coordination/coordination_test.cpp
@@ -562,6 +562,42 @@
     EXPECT_TRUE(runUntil([&] { return client.hasLeader() && !client.usesRelay(); }, Seconds(4)));
 }
 
+// Guards against a VM that takes its leader for lost after a turn of its event loop in which it was
+// itself too busy to hear it, and picks servers from an old view.
+TEST_F(ControlTaskTest, BusyClientKeepsItsLeader)
+{
+    peer::Server standIn(base_.get(), credentials());
+    std::vector<TimerHandle> delays;
+    standIn.registerTypedHandler<wire::FleetViewRequest, wire::FleetViewReply>(
+        peer::Method::FleetView, peer::Role::Vm,
+        [&](const peer::Caller &, const wire::FleetViewRequest &, auto respond) {
+            delays.push_back(timers_.runAfter(Milliseconds(100), [respond] {
+                wire::FleetViewReply reply;
+                reply.set_leader(true);
+                respond(reply);
+            }));
+        });
+    ASSERT_TRUE(std::holds_alternative<bool>(attempt([&]() -> Result<bool> {
+        BOOST_LEAF_CHECK(standIn.listen(addressOf(5)));
+        return true;
+    })));
+    peer::ClientPool clients(base_.get(), timers_, credentials());
+    LeaderClient client(timers_, clients,
+                        { "entry-1", 1, { addressOf(5) }, std::nullopt, &readEmptyTable }, {});
+    client.start();
+    ASSERT_TRUE(runUntil([&] { return client.hasLeader(); }));
+    bool lost = false;
+    Duration unresponsive { 0 };
+    const TimerHandle observer = timers_.runEvery(Milliseconds(1), [&] {
+        lost = lost || !client.hasLeader();
+        unresponsive = std::max(unresponsive, client.leaderUnresponsiveTime());
+    });
+    timers_.post([] { usleep(1'200'000); });
+    runUntil([] { return false; }, Milliseconds(1600));
+    EXPECT_FALSE(lost);
+    EXPECT_LT(unresponsive, LeaderTimeout);
+}
+
 // Guards against clients that send additional view requests while one is pending.
 TEST_F(ControlTaskTest, ClientHasAtMostOnePendingViewRequest)
 {
--- a/src/coordination/leaderclient.cpp
+++ b/src/coordination/leaderclient.cpp
@@ -61,7 +61,10 @@
     }
 
     const FleetView &view() const { return view_; }
-    bool hasLeader() const { return leader_ && timers_.now() - lastContactAt_ < LeaderTimeout; }
+    bool hasLeader() const
+    {
+        return leader_ && clients_.listenedSince(lastContactAt_) < LeaderTimeout;
+    }
     std::optional<peer::Address> leader() const { return leader_; }
     bool usesRelay() const { return leader_ && !isControlAddress(*leader_); }
 
@@ -154,7 +157,7 @@
         }
         documents_.resume();
         const Instant now = timers_.now();
-        const bool unresponsive = !leader_ || now - lastContactAt_ > LeaderTimeout;
+        const bool unresponsive = !hasLeader();
         if (unresponsive && !leaderLossLogged_) {
             leaderLossLogged_ = true;
             logEvent(Event::LeaderLost,
--- a/src/peer/client.cpp
+++ b/src/peer/client.cpp
@@ -14,6 +14,7 @@
 constexpr Milliseconds PingDelay { 100 };
 constexpr Milliseconds UnresponsiveTimeout { 1500 };
 constexpr Milliseconds ReconnectDelay { 100 };
+constexpr Milliseconds TimerTolerance { 20 };
 // TCP retransmits a lost SYN with an exponential delay that starts at 1 s, so a new connection
 // attempt succeeds sooner.
 constexpr Milliseconds ConnectTimeout { 400 };
@@ -24,9 +25,9 @@
 class Connection
 {
 public:
-    Connection(event_base *base, TimerService &timers, ssl_ctx_st *context, Protection protection,
-               Address address)
-        : base_(base), timers_(timers), context_(context), protection_(protection),
+    Connection(event_base *base, TimerService &timers, const ListeningClock &clock,
+               ssl_ctx_st *context, Protection protection, Address address)
+        : base_(base), timers_(timers), clock_(clock), context_(context), protection_(protection),
           address_(std::move(address))
     {
         checkTimer_ = timers_.runEvery(CheckInterval, [this] { checkConnection(); });
@@ -59,7 +60,8 @@
         Call &call = calls_[streamId];
         call.callback = std::move(callback);
         call.sentAt = timers_.now();
-        call.timeout = timers_.runAfter(timeout, [this, streamId] { handleTimeout(streamId); });
+        call.timeout = timeout;
+        startTimeout(streamId, call);
     }
 
     Duration unresponsiveTime() const
@@ -67,7 +69,7 @@
         if (!session_ || calls_.empty()) {
             return Duration(0);
         }
-        return timers_.now() - std::max(session_->lastReceived(), pendingSince_);
+        return clock_.listenedSince(std::max(session_->lastReceived(), pendingSince_));
     }
 
 private:
@@ -75,9 +77,21 @@
     {
         ClientPool::Callback callback;
         Instant sentAt;
-        TimerHandle timeout;
+        Duration timeout { 0 };
+        TimerHandle timer;
     };
 
+    Duration remainingTime(const Call &call) const
+    {
+        return call.timeout - clock_.listenedSince(call.sentAt);
+    }
+
+    void startTimeout(std::int32_t streamId, Call &call)
+    {
+        call.timer =
+            timers_.runAfter(remainingTime(call), [this, streamId] { handleTimeout(streamId); });
+    }
+
     void failAsUnreachable(ClientPool::Callback callback)
     {
         timers_.post([callback = std::move(callback), text = address_.toString()] {
@@ -128,6 +142,12 @@
 
     void handleTimeout(std::int32_t streamId)
     {
+        const auto call = calls_.find(streamId);
+        if (call != calls_.end() && remainingTime(call->second) > TimerTolerance) {
+            // A reply may have arrived during a long turn of the event loop.
+            startTimeout(streamId, call->second);
+            return;
+        }
         auto node = calls_.extract(streamId);
         if (node.empty()) {
             return;
@@ -188,6 +208,7 @@
 
     event_base *base_;
     TimerService &timers_;
+    const ListeningClock &clock_;
     ssl_ctx_st *context_;
     Protection protection_;
     Address address_;
@@ -203,7 +224,7 @@
 {
 public:
     Impl(event_base *base, TimerService &timers, Credentials credentials)
-        : base_(base), timers_(timers), credentials_(std::move(credentials)),
+        : base_(base), timers_(timers), clock_(timers), credentials_(std::move(credentials)),
           context_(internal::makeClientContext(credentials_))
     {
     }
@@ -241,6 +262,8 @@
         });
     }
 
+    Duration listenedSince(Instant start) const { return clock_.listenedSince(start); }
+
     Duration unresponsiveTime(const Address &address) const
     {
         const auto found = connections_.find(address);
@@ -256,7 +279,7 @@
     {
         auto &connection = connections_[address];
         if (!connection) {
-            connection = std::make_unique<Connection>(base_, timers_, context_.get(),
+            connection = std::make_unique<Connection>(base_, timers_, clock_, context_.get(),
                                                       credentials_.protection, address);
         }
         return *connection;
@@ -265,6 +288,7 @@
 private:
     event_base *base_;
     TimerService &timers_;
+    ListeningClock clock_;
     Credentials credentials_;
     internal::SslContext context_;
     Address localAddress_;
@@ -289,6 +313,11 @@
     impl_->connectionTo(address).call(method, std::move(body), timeout, std::move(callback));
 }
 
+Duration ClientPool::listenedSince(Instant start) const
+{
+    return impl_->listenedSince(start);
+}
+
 Duration ClientPool::unresponsiveTime(const Address &address) const
 {
     return impl_->unresponsiveTime(address);
--- a/src/peer/peer.h
+++ b/src/peer/peer.h
@@ -222,9 +222,12 @@
     // Routes calls to `address` to `server` in this process, without a connection.
     void setLocalServer(const Address &address, Server &server);
 
-    // Returns how long calls to `address` have been pending without any data received from it; zero
-    // if no call is pending. The pool sends HTTP/2 pings meanwhile, so a slow handler alone does
-    // not make a process unresponsive.
+    // Returns the time since `start` during which this process was able to receive messages.
+    Duration listenedSince(Instant start) const;
+
+    // Returns how long calls to `address` have been pending without any data received from it while
+    // this process was able to receive some; zero if no call is pending. The pool sends HTTP/2
+    // pings meanwhile, so a slow handler alone does not make a process unresponsive.
     Duration unresponsiveTime(const Address &address) const;
 
     // Calls `method` at `address` with a serialized request. `callback` runs exactly once, never
--- a/src/timer/timer.cpp
+++ b/src/timer/timer.cpp
@@ -9,6 +9,11 @@
 
 namespace {
 
+constexpr Milliseconds ListeningPeriod { 50 };
+constexpr Milliseconds MinLongTurn { 150 };
+// Longer than the timeouts that are measured with a ListeningClock.
+constexpr Seconds LongTurnRetention { 30 };
+
 timeval toTimeval(Duration duration)
 {
     const auto count = duration.count() < 0 ? 0 : duration.count();
@@ -112,21 +117,40 @@
 
 ListeningClock::ListeningClock(TimerService &timers, DelayCallback delayed)
     : timers_(timers), delayed_(std::move(delayed)), advancedAt_(timers.now()),
-      tick_(timers.runEvery(Period, [this] { advance(); }))
+      tick_(timers.runEvery(ListeningPeriod, [this] { advance(); }))
 {
 }
 
 void ListeningClock::advance()
 {
     const Instant now = timers_.now();
-    const Duration gap = now - advancedAt_;
+    const Duration delay = now - advancedAt_ - ListeningPeriod;
     advancedAt_ = now;
-    // Timers run before the input that arrived during a long turn, so most of the turn is left out.
-    elapsed_ += std::min<Duration>(gap, 2 * Period);
-    const Duration delay = gap - Period;
-    if (delayed_ && delay > ReportedDelay) {
+    while (!longTurns_.empty() && now - longTurns_.front().endedAt > LongTurnRetention) {
+        longTurns_.pop_front();
+    }
+    if (delay <= MinLongTurn) {
+        return;
+    }
+    longTurns_.push_back({ now, delay });
+    if (delayed_) {
         delayed_(delay);
     }
 }
 
+Duration ListeningClock::listenedSince(Instant start) const
+{
+    const Instant now = timers_.now();
+    Duration listened = now - start;
+    for (const LongTurn &turn : longTurns_) {
+        listened -= std::clamp<Duration>(turn.endedAt - start, Duration(0), turn.length);
+    }
+    // Other timers may run before this clock's own after a long turn.
+    const Duration currentDelay = now - std::max(advancedAt_, start) - ListeningPeriod;
+    if (currentDelay > MinLongTurn) {
+        listened -= currentDelay;
+    }
+    return std::max(listened, Duration(0));
+}
+
 } // namespace daisyhaven
--- a/src/timer/timer.h
+++ b/src/timer/timer.h
@@ -12,6 +12,7 @@
 #pragma once
 
 #include <chrono>
+#include <deque>
 #include <functional>
 #include <memory>
 
@@ -73,9 +74,9 @@
     event_base *base_;
 };
 
-// Counts the time during which an event loop was able to receive messages. While one callback takes
-// long, or the VM is suspended, nothing is received, so that time says nothing about how long
-// another process has been silent.
+// Measures for how long an event loop was able to receive messages. While one callback takes long,
+// or the VM is suspended, nothing is received, so that time says nothing about how long another
+// process has been silent.
 class ListeningClock
 {
 public:
@@ -86,21 +87,23 @@
     ListeningClock(const ListeningClock &) = delete;
     ListeningClock &operator=(const ListeningClock &) = delete;
 
-    // Returns the time counted so far, with a resolution of Period.
-    Duration elapsed() const { return elapsed_; }
-
-    static constexpr Milliseconds Period { 50 };
+    // Returns the time since `start` without the long turns in it.
+    Duration listenedSince(Instant start) const;
 
 private:
-    // A longer turn of the event loop is reported.
-    static constexpr Milliseconds ReportedDelay { 200 };
+    // A turn of the event loop that was too long to receive messages in time.
+    struct LongTurn
+    {
+        Instant endedAt;
+        Duration length;
+    };
 
     void advance();
 
     TimerService &timers_;
     DelayCallback delayed_;
     Instant advancedAt_;
-    Duration elapsed_ { 0 };
+    std::deque<LongTurn> longTurns_;
     TimerHandle tick_;
 };
 
