A VM finds out whether a server or its own links failed

The class: a result with two possible causes is booked on one of them. Change: after a failure in the network, or a silence of 1.6 times the usual latency, a VM opens connections to two other servers of the service. One that is established blames the server; if none is, the VM is disconnected from the service: the slot is released as saying nothing about the server, and what the leader held against it as overdue is taken back. A disconnected VM sends nothing itself and refuses at once what has not run; idempotent requests that hang are freed.

--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -815,10 +815,8 @@
             slotRequests_.erase(key);
             scheduler_->cancelRequest(now, key);
         } else if (message.epoch() == scheduler_->epoch()) {
-            const auto outcome = static_cast<scheduler::Outcome>(std::min<std::uint32_t>(
-                message.outcome(), static_cast<std::uint32_t>(scheduler::LastOutcome)));
-            scheduler_->releaseSlot(now, message.slot(), outcome, Duration(message.latency_us()),
-                                    statementFromWire(message));
+            scheduler_->releaseSlot(now, message.slot(), outcomeFromWire(message),
+                                    Duration(message.latency_us()), statementFromWire(message));
         }
         executeActions();
     }
--- a/src/coordination/internal/viewcodec.h
+++ b/src/coordination/internal/viewcodec.h
@@ -14,6 +14,7 @@
 directory::Announcement toAnnouncement(Instant now, const scheduler::KnownServer &server);
 wire::SlotAnswer toWire(const scheduler::Grant &grant, std::uint64_t epoch);
 wire::SlotAnswer toWire(const scheduler::Rejection &rejection, std::uint64_t epoch);
+scheduler::Outcome outcomeFromWire(const wire::SlotRelease &message);
 std::optional<scheduler::ServerStatement> statementFromWire(const wire::SlotRelease &message);
 scheduler::SlotRequest fromWire(Instant now, const wire::SlotQuestion &message);
 
--- a/src/coordination/viewcodec.cpp
+++ b/src/coordination/viewcodec.cpp
@@ -1,5 +1,7 @@
 #include "coordination/internal/viewcodec.h"
 
+#include <algorithm>
+
 namespace daisyhaven::coordination {
 
 namespace {
@@ -94,6 +96,15 @@
     return message;
 }
 
+scheduler::Outcome outcomeFromWire(const wire::SlotRelease &message)
+{
+    if (message.vm_disconnected()) {
+        return scheduler::Outcome::VmDisconnected;
+    }
+    return static_cast<scheduler::Outcome>(std::min<std::uint32_t>(
+        message.outcome(), static_cast<std::uint32_t>(scheduler::LastOutcome)));
+}
+
 std::optional<scheduler::ServerStatement> statementFromWire(const wire::SlotRelease &message)
 {
     if (!message.has_statement()) {
--- a/src/gateway/backendcall.cpp
+++ b/src/gateway/backendcall.cpp
@@ -1,5 +1,6 @@
 #include "gateway/internal/backendcall.h"
 
+#include "gateway/internal/reachabilitymonitor.h"
 #include "gateway/internal/serverstatements.h"
 
 #include <charconv>
@@ -66,6 +67,7 @@
     callbacks.connected = guarded([](BackendCall &self) {
         self.connected_ = true;
         self.connectTimer_ = TimerHandle();
+        self.context_.reachability.recordConnection(self.request_.service);
     });
     callbacks.belongsToCurrentRequest = [weak](const http::ResponseHead &head) {
         const auto self = weak.lock();
@@ -134,10 +136,19 @@
 
 void BackendCall::endBody()
 {
-    if (!finished_) {
-        bodyEnded_ = true;
-        connection_->endRequest();
+    if (finished_) {
+        return;
     }
+    bodyEnded_ = true;
+    connection_->endRequest();
+    const std::weak_ptr<BackendCall> weak = weak_from_this();
+    silenceTimer_ =
+        context_.timers.runAfter(context_.reachability.suspiciousSilence(request_.service), [weak] {
+            const auto self = weak.lock();
+            if (self && !self->finished_ && !self->hasHead_) {
+                self->callbacks_.onSilent();
+            }
+        });
 }
 
 bool BackendCall::outputFull() const
@@ -182,6 +193,7 @@
 void BackendCall::discardConnection()
 {
     connectTimer_ = TimerHandle();
+    silenceTimer_ = TimerHandle();
     const std::shared_ptr<http::ClientConnection> connection = std::move(connection_);
     context_.timers.post([connection] {});
 }
@@ -191,6 +203,8 @@
     hasHead_ = true;
     headReceivedAt_ = context_.now();
     head_ = head;
+    silenceTimer_ = TimerHandle();
+    context_.reachability.recordResponse(request_.service, latency());
     readStatement();
 }
 
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -1,10 +1,13 @@
 #include "gateway/internal/exchange.h"
 
+#include "gateway/internal/reachabilitymonitor.h"
+
 #include <xxhash.h>
 
 #include <array>
 #include <charconv>
 #include <cstdio>
+#include <utility>
 
 namespace daisyhaven::gateway {
 
@@ -27,6 +30,8 @@
 constexpr Milliseconds RetryAfterNotRun { 100 };
 // Number of route priorities. A team's priority takes precedence over every route priority.
 constexpr std::uint32_t RoutePriorityCount = 16;
+// Retry-After of a request that this VM cannot send to any server. It checks its links as often.
+constexpr Milliseconds RetryAfterDisconnected { 300 };
 constexpr std::string_view BearerPrefix = "Bearer ";
 
 std::string bearerToken(const http::Headers &headers)
@@ -37,6 +42,15 @@
     return bearer ? field->substr(BearerPrefix.size()) : "";
 }
 
+// Returns whether the VM's own links may be the cause.
+bool isNetworkFailure(scheduler::Outcome outcome)
+{
+    return outcome == scheduler::Outcome::ConnectRefused
+        || outcome == scheduler::Outcome::ConnectTimeout
+        || outcome == scheduler::Outcome::ConnectionLost
+        || outcome == scheduler::Outcome::ResponseTimeout;
+}
+
 bool isServerError(int status)
 {
     return status >= 500;
@@ -278,6 +292,10 @@
 
 void Exchange::requestSlot(bool retry)
 {
+    if (context_.reachability.isDisconnected(service_)) {
+        respondWithoutServers();
+        return;
+    }
     stage_ = Stage::AwaitingSlot;
     const std::weak_ptr<Exchange> weak = weak_from_this();
     SlotClient &slots = context_.slots;
@@ -292,6 +310,16 @@
         });
 }
 
+void Exchange::respondWithoutServers()
+{
+    if (mayHaveRun_ || earlierResponse_) {
+        respondWithFailure(ResultCode::BackendFailed, "this VM reaches no backend server");
+        return;
+    }
+    reject(ResultCode::NoBackendServer, "this VM reaches no backend server",
+           RetryAfterDisconnected);
+}
+
 // Cancels the pending slot request, if any.
 void Exchange::cancelSlotRequest()
 {
@@ -350,6 +378,7 @@
     request.framing = head_.framing;
     request.contentLength = head_.contentLength;
     request.requestId = requestId_;
+    request.service = service_;
     request.idempotent = routing::isIdempotent(route_->kind);
     http::Headers replaced;
     replaced.add(names.deadlineMs, "");
@@ -400,6 +429,7 @@
     callbacks.onStreamEnd = guarded([](Exchange &self) { self.onStreamEnd(); });
     callbacks.onFailed =
         guarded([](Exchange &self, const CallFailure &failure) { self.onCallFailed(failure); });
+    callbacks.onSilent = guarded([](Exchange &self) { self.onServerSilent(); });
     callbacks.onDrained = guarded([](Exchange &self) { self.forwardBody(); });
     return callbacks;
 }
@@ -527,7 +557,23 @@
 
 void Exchange::onCallFailed(const CallFailure &failure)
 {
-    releaseSlot(failure.outcome);
+    if (!isNetworkFailure(failure.outcome)) {
+        releaseSlot(failure.outcome);
+        retryOrFail(failure);
+        return;
+    }
+    stage_ = Stage::AwaitingVerdict;
+    const std::weak_ptr<Exchange> weak = weak_from_this();
+    releaseSlotAfterVerdict(failure.outcome, [weak, failure] {
+        const auto self = weak.lock();
+        if (self && self->stage_ == Stage::AwaitingVerdict) {
+            self->retryOrFail(failure);
+        }
+    });
+}
+
+void Exchange::retryOrFail(const CallFailure &failure)
+{
     if (failure.mayHaveRun) {
         ++sentAttempts_;
         mayHaveRun_ = true;
@@ -545,6 +591,39 @@
     respondWithFailure(failure.code, failure.detail);
 }
 
+// A request without a response for this long may be lost because this VM has lost its links.
+void Exchange::onServerSilent()
+{
+    const std::weak_ptr<Exchange> weak = weak_from_this();
+    const auto call = call_;
+    context_.reachability.explainFailure(
+        { service_, call->slot().server, call->startedAt(), NetworkFailure::Kind::NoResponse },
+        [weak, call](FaultyEnd faultyEnd) {
+            const auto self = weak.lock();
+            const bool waiting = self && self->call_ == call && !self->responseStarted_;
+            if (waiting && faultyEnd == FaultyEnd::OwnLinks) {
+                self->abandonLostCall();
+            }
+        });
+}
+
+// Sends an idempotent request another way. Any other one may run, so its response is awaited; the
+// leader is told that the slot says nothing about the server.
+void Exchange::abandonLostCall()
+{
+    if (mayRetry(true)) {
+        ++sentAttempts_;
+        mayHaveRun_ = true;
+        releaseSlot(scheduler::Outcome::VmDisconnected);
+        startRetry(true, "this VM has lost its links to backend servers");
+        return;
+    }
+    if (!slotReleased_) {
+        slotReleased_ = true;
+        context_.slots.release(call_->slot(), scheduler::Outcome::VmDisconnected, call_->latency());
+    }
+}
+
 // A response that was partly sent cannot be replaced. Its connection is aborted so that the caller
 // does not take the response for complete.
 void Exchange::abortResponse(ResultCode code, const std::string &detail)
@@ -594,18 +673,52 @@
     reject(code, detail, Duration(0));
 }
 
+// Ends the call, if there is one. Returns it if its slot is still to be released.
+std::shared_ptr<BackendCall> Exchange::endCall()
+{
+    if (!call_) {
+        return nullptr;
+    }
+    context_.metrics.observe("daisyhaven_server_seconds", { { "service", service_ } },
+                             std::chrono::duration<double>(call_->latency()).count());
+    backendTime_ += call_->latency();
+    call_->cancel();
+    const auto call = std::move(call_);
+    call_.reset();
+    return std::exchange(slotReleased_, false) ? nullptr : call;
+}
+
 void Exchange::releaseSlot(scheduler::Outcome outcome)
 {
-    if (call_) {
-        context_.metrics.observe("daisyhaven_server_seconds", { { "service", service_ } },
-                                 std::chrono::duration<double>(call_->latency()).count());
-        backendTime_ += call_->latency();
-        context_.slots.release(call_->slot(), outcome, call_->latency(), call_->statement());
-        call_->cancel();
-        call_.reset();
+    if (const auto call = endCall()) {
+        context_.slots.release(call->slot(), outcome, call->latency(), call->statement());
     }
 }
 
+// Ends the call and releases its slot once it is known whether the server or this VM's links caused
+// `outcome`. Calls `released` then.
+void Exchange::releaseSlotAfterVerdict(scheduler::Outcome outcome, std::function<void()> released)
+{
+    const auto call = endCall();
+    if (!call) {
+        released();
+        return;
+    }
+    const Duration latency = call->latency();
+    const auto kind = outcome == scheduler::Outcome::ResponseTimeout
+        ? NetworkFailure::Kind::NoResponse
+        : NetworkFailure::Kind::ConnectionFailed;
+    SlotClient &slots = context_.slots;
+    context_.reachability.explainFailure(
+        { service_, call->slot().server, call->startedAt(), kind },
+        [call, latency, outcome, &slots, released = std::move(released)](FaultyEnd faultyEnd) {
+            const bool ownLinks = faultyEnd == FaultyEnd::OwnLinks;
+            slots.release(call->slot(), ownLinks ? scheduler::Outcome::VmDisconnected : outcome,
+                          latency, call->statement());
+            released();
+        });
+}
+
 void Exchange::onDeadline()
 {
     if (stage_ == Stage::Done) {
@@ -620,7 +733,8 @@
     }
     const bool ran = call_->mayHaveRun();
     mayHaveRun_ = mayHaveRun_ || ran;
-    releaseSlot(ran ? scheduler::Outcome::ResponseTimeout : scheduler::Outcome::ConnectTimeout);
+    releaseSlotAfterVerdict(
+        ran ? scheduler::Outcome::ResponseTimeout : scheduler::Outcome::ConnectTimeout, [] {});
     if (responseStarted_) {
         abortResponse(ResultCode::BackendTimeout, "response incomplete at the deadline");
         return;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -3,6 +3,7 @@
 #include "gateway/internal/backendconnectionpool.h"
 #include "gateway/internal/context.h"
 #include "gateway/internal/exchange.h"
+#include "gateway/internal/reachabilitymonitor.h"
 #include "gateway/internal/slotclient.h"
 
 #include <map>
@@ -79,8 +80,10 @@
                     [this](const auto &spent) { slots_.markAdmissionsReported(spent); } }),
           relay_(timers, server, clients, leader_),
           slots_(timers, leader_, metrics, options_.vm, incarnation_, options_.rateTolerance),
-          pool_(base, timers), servicePicker_(std::random_device {}()), context_ {
-              base_, timers_, metrics_, options_, leader_, slots_, pool_, servicePicker_
+          pool_(base, timers), reachability_(base, timers, leader_, pool_),
+          servicePicker_(std::random_device {}()), context_ {
+              base_,  timers_, metrics_,      options_,      leader_,
+              slots_, pool_,   reachability_, servicePicker_
           }
     {
     }
@@ -181,6 +184,8 @@
         metrics_.setGauge("daisyhaven_configuration_version", {},
                           static_cast<double>(view.configurationVersion));
         metrics_.setGauge("daisyhaven_has_leader", {}, leader_.hasLeader() ? 1 : 0);
+        metrics_.setGauge("daisyhaven_servers_unreachable", {},
+                          reachability_.isAnyDisconnected() ? 1 : 0);
         metrics_.setGauge("daisyhaven_uses_relay", {}, leader_.usesRelay() ? 1 : 0);
     }
 
@@ -202,6 +207,7 @@
     coordination::LeaderRelay relay_;
     SlotClient slots_;
     BackendConnectionPool pool_;
+    ReachabilityMonitor reachability_;
     routing::WeightedServicePicker servicePicker_;
     GatewayContext context_;
     std::unique_ptr<http::Listener> listener_;
--- a/src/gateway/internal/backendcall.h
+++ b/src/gateway/internal/backendcall.h
@@ -33,6 +33,7 @@
     http::Framing framing = http::Framing::None;
     std::uint64_t contentLength = 0;
     std::string requestId;
+    std::string service;
     bool idempotent = false;
 };
 
@@ -45,6 +46,8 @@
     std::function<void(std::string_view)> onStreamBody;
     std::function<void()> onStreamEnd;
     std::function<void(const CallFailure &)> onFailed;
+    // The server has not responded for so long that the response may be lost. The call goes on.
+    std::function<void()> onSilent;
     // More of the request body can be sent.
     std::function<void()> onDrained;
 };
@@ -71,6 +74,7 @@
     // Time from the start until the response head was received, or until now if it was not.
     Duration latency() const;
     const Slot &slot() const { return slot_; }
+    Instant startedAt() const { return startedAt_; }
     // Returns what the server said of itself, if it has responded.
     const std::optional<scheduler::ServerStatement> &statement() const { return statement_; }
 
@@ -102,6 +106,7 @@
     bool streaming_ = false;
     bool finished_ = false;
     TimerHandle connectTimer_;
+    TimerHandle silenceTimer_;
 };
 
 } // namespace daisyhaven::gateway
--- a/src/gateway/internal/context.h
+++ b/src/gateway/internal/context.h
@@ -6,6 +6,7 @@
 namespace daisyhaven::gateway {
 
 class BackendConnectionPool;
+class ReachabilityMonitor;
 class SlotClient;
 
 struct GatewayContext
@@ -17,6 +18,7 @@
     const coordination::LeaderClient &leader;
     SlotClient &slots;
     BackendConnectionPool &pool;
+    ReachabilityMonitor &reachability;
     routing::WeightedServicePicker &servicePicker;
 
     Instant now() const { return timers.now(); }
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -37,7 +37,13 @@
     void onSinkDrained();
 
 private:
-    enum class Stage : std::uint8_t { ReadingBody, AwaitingSlot, CallingBackend, Done };
+    enum class Stage : std::uint8_t {
+        ReadingBody,
+        AwaitingSlot,
+        CallingBackend,
+        AwaitingVerdict,
+        Done
+    };
 
     void admit();
     void scheduleAdmission();
@@ -55,6 +61,7 @@
     void forwardBody();
     void onResponse(const http::ResponseHead &head, const std::string &body);
     void cancelSlotRequest();
+    void respondWithoutServers();
     void abortResponse(ResultCode code, const std::string &detail);
     bool isNotExecuted(const http::ResponseHead &head) const;
     bool mayRetry(bool ran) const;
@@ -64,7 +71,12 @@
     void onCallFailed(const CallFailure &failure);
     void startRetry(bool sent, const std::string &cause);
     void respondWithFailure(ResultCode code, const std::string &detail);
+    void onServerSilent();
+    void abandonLostCall();
+    void retryOrFail(const CallFailure &failure);
+    std::shared_ptr<BackendCall> endCall();
     void releaseSlot(scheduler::Outcome outcome);
+    void releaseSlotAfterVerdict(scheduler::Outcome outcome, std::function<void()> released);
     void onDeadline();
     void reject(ResultCode code, const std::string &detail, Duration retryAfter);
     void logOutcome(const char *what, ResultCode code, const std::string &detail) const;
@@ -96,6 +108,8 @@
 
     std::uint64_t slotRequestId_ = 0;
     std::shared_ptr<BackendCall> call_;
+    // The leader knows that the slot of call_ is free, although the call goes on.
+    bool slotReleased_ = false;
     std::set<std::string> attemptedServers_;
     std::string lastServer_;
     std::uint32_t sentAttempts_ = 0;
--- a/src/gateway/slotclient.cpp
+++ b/src/gateway/slotclient.cpp
@@ -400,7 +400,11 @@
     message.set_slot(slot.number);
     message.set_vm(vm_);
     message.set_incarnation(incarnation_);
-    message.set_outcome(static_cast<std::uint32_t>(outcome));
+    const bool disconnected = outcome == scheduler::Outcome::VmDisconnected;
+    // A control VM of an earlier release knows only the outcome.
+    message.set_outcome(
+        static_cast<std::uint32_t>(disconnected ? scheduler::Outcome::Cancelled : outcome));
+    message.set_vm_disconnected(disconnected);
     message.set_latency_us(static_cast<std::uint64_t>(std::max<Duration::rep>(latency.count(), 0)));
     if (statement) {
         message.mutable_statement()->set_leaving(statement->leaving);
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -148,8 +148,9 @@
         Impl &impl = implOf(user);
         if ((what & BEV_EVENT_CONNECTED) != 0) {
             internal::setSocketOptions(bufferevent_getfd(connection));
-            if (impl.callbacks_.connected) {
-                impl.callbacks_.connected();
+            // The callback may replace the callbacks.
+            if (const auto connected = impl.callbacks_.connected) {
+                connected();
             }
             return;
         }
@@ -163,8 +164,8 @@
                 end(false);
                 return;
             }
-            if (impl.callbacks_.closed) {
-                impl.callbacks_.closed();
+            if (const auto closed = impl.callbacks_.closed) {
+                closed();
             }
         }
     }
--- a/src/observe/observe.h
+++ b/src/observe/observe.h
@@ -71,6 +71,8 @@
     ServerLimitChanged = 1613,
     ServerStatementHeard = 1614,
     ServerStatementIgnored = 1615,
+    ServersUnreachable = 1616,
+    ServersReachable = 1617,
     PeerConnected = 1701,
     PeerLost = 1702,
     PeerRejected = 1703,
--- a/src/scheduler/internal/serverhealth.h
+++ b/src/scheduler/internal/serverhealth.h
@@ -23,6 +23,8 @@
     // Records that a request without a response has passed the next overdue threshold, a multiple
     // of the typical latency.
     void recordOverdue(Instant now);
+    // Takes back `count` calls of recordOverdue(), whose cause turned out to be the VM.
+    void retractOverdue(Instant now, std::size_t count);
     // Records that another observer saw the server fail.
     void recordInheritedSuspicion(Instant now);
     // Probability that the next request fails because of the server.
--- a/src/scheduler/localloadbalancer.cpp
+++ b/src/scheduler/localloadbalancer.cpp
@@ -85,6 +85,7 @@
         break;
     case Outcome::NotSent:
     case Outcome::Cancelled:
+    case Outcome::VmDisconnected:
         break;
     case Outcome::ServerError:
     case Outcome::MalformedResponse:
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -98,7 +98,8 @@
 
 bool isInconclusive(Outcome outcome)
 {
-    return outcome == Outcome::NotSent || outcome == Outcome::Cancelled;
+    return outcome == Outcome::NotSent || outcome == Outcome::Cancelled
+        || outcome == Outcome::VmDisconnected;
 }
 
 // A server with this failure probability or a higher one gets the request only as a probe.
@@ -138,6 +139,8 @@
         return "cancelled";
     case Outcome::WrongServer:
         return "wrong-server";
+    case Outcome::VmDisconnected:
+        return "vm-disconnected";
     }
     return "unknown";
 }
@@ -654,6 +657,12 @@
     if (known != servers_.end() && outcome == Outcome::NotSent) {
         known->second->requestLimit.returnRequest(now);
     }
+    const bool wronglyOverdue =
+        outcome == Outcome::VmDisconnected && grantedSlot.overdueStepCount > 0;
+    if (known != servers_.end() && wronglyOverdue) {
+        known->second->health.retractOverdue(now, grantedSlot.overdueStepCount);
+        updateSuspicion(now, *known->second, outcomeName(outcome));
+    }
     if (known != servers_.end() && !isInconclusive(outcome)) {
         ServerState &server = *known->second;
         const double ratio =
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -52,7 +52,9 @@
     NotSent = 8, // says nothing about the server
     Cancelled = 9, // the caller disconnected; says nothing about the server
     WrongServer = 10, // another server has the address now
+    VmDisconnected = 11, // the VM reaches no server; says nothing about this one
 };
+// The last value that VMs send as a number.
 constexpr Outcome LastOutcome = Outcome::WrongServer;
 
 // What a backend server says of itself in a response.
--- a/src/scheduler/serverhealth.cpp
+++ b/src/scheduler/serverhealth.cpp
@@ -134,6 +134,7 @@
         return;
     case Outcome::NotSent:
     case Outcome::Cancelled:
+    case Outcome::VmDisconnected:
         return;
     }
 }
@@ -148,4 +149,9 @@
     applyLikelihoodRatio(now, OverdueLikelihoodRatio);
 }
 
+void ServerHealth::retractOverdue(Instant now, std::size_t count)
+{
+    applyLikelihoodRatio(now, std::pow(OverdueLikelihoodRatio, -static_cast<double>(count)));
+}
+
 } // namespace daisyhaven::scheduler::internal
