--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -625,7 +625,12 @@
             }
             return;
         }
-        entryVms_.recordContact(now, { request.vm(), request.peer_address(), request.relayed() });
+        entryVms_.recordContact(now,
+                                { request.vm(),
+                                  request.peer_address(),
+                                  request.relayed(),
+                                  { request.request_relay_address(), request.availability_zone() },
+                                  request.disconnected() });
         for (const wire::TeamSpending &spent : request.spent()) {
             scheduler_->recordExternalAdmissions(now, spent.team(), spent.count());
         }
@@ -638,7 +643,8 @@
             executeActions();
         }
         Watcher watcher = makeWatcher(now, request, respond);
-        if (isOutdated(watcher)) {
+        const bool isUrgent = request.disconnected() && request.wants_relays();
+        if (isOutdated(watcher) || isUrgent) {
             watcher.respond(encodeView(now, watcher));
             return;
         }
@@ -699,6 +705,12 @@
             for (std::string &relay : entryVms_.pickRelays(now, watcher.vm, random_)) {
                 reply.add_relays(std::move(relay));
             }
+            for (const RequestRelay &relay :
+                 entryVms_.pickRequestRelays(now, watcher.vm, random_)) {
+                wire::RequestRelay *named = reply.add_request_relays();
+                named->set_address(relay.address);
+                named->set_availability_zone(relay.zone);
+            }
         }
         addState(watcher, &reply);
         if (watcher.relayed) {
@@ -815,8 +827,12 @@
             slotRequests_.erase(key);
             scheduler_->cancelRequest(now, key);
         } else if (message.epoch() == scheduler_->epoch()) {
-            scheduler_->releaseSlot(now, message.slot(), outcomeFromWire(message),
-                                    Duration(message.latency_us()), statementFromWire(message));
+            const scheduler::Outcome outcome = outcomeFromWire(message);
+            if (outcome == scheduler::Outcome::Success) {
+                entryVms_.recordSuccess(now, message.vm());
+            }
+            scheduler_->releaseSlot(now, message.slot(), outcome, Duration(message.latency_us()),
+                                    statementFromWire(message));
         }
         executeActions();
     }
--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -61,6 +61,19 @@
     std::set<std::string> busyTeams;
 };
 
+// An entry VM through which another one can send requests to backend servers.
+struct RequestRelay
+{
+    std::string address;
+    std::string zone;
+
+    auto tied() const { return std::tie(address, zone); }
+    friend bool operator==(const RequestRelay &a, const RequestRelay &b)
+    {
+        return a.tied() == b.tied();
+    }
+};
+
 struct LeaderClientOptions
 {
     std::string vm;
@@ -72,6 +85,8 @@
     routing::DocumentParser documentParser = nullptr;
     // Address at which this VM serves as a relay. A VM without one uses no relays either.
     std::optional<peer::Address> relayAddress = std::nullopt;
+    // This VM as a relay of requests; without an address it is none.
+    RequestRelay requestRelay = {};
 };
 
 struct LeaderClientCallbacks
@@ -85,6 +100,8 @@
     std::function<std::map<std::string, std::uint32_t>()> unreportedAdmissions;
     // Called after a leader has received these counts of unreportedAdmissions().
     std::function<void(const std::map<std::string, std::uint32_t> &)> admissionsReported;
+    // Returns whether this VM reaches no server of at least one service.
+    std::function<bool()> isDisconnected;
 };
 
 class LeaderClient
@@ -119,6 +136,8 @@
     Duration leaderUnresponsiveTime() const;
     // Returns the addresses of all known control VMs.
     std::vector<peer::Address> controlAddresses() const;
+    // Returns the VMs through which requests can be sent, as the leader last named them.
+    const std::vector<RequestRelay> &requestRelays() const;
 
     // Requests a slot from the leader. `callback` runs exactly once.
     void requestSlot(const wire::SlotQuestion &request, Duration timeout, SlotCallback callback);
--- a/src/coordination/internal/vmregistry.h
+++ b/src/coordination/internal/vmregistry.h
@@ -1,6 +1,7 @@
 // The entry VMs that send requests to the leader, directly or through a relay.
 #pragma once
 
+#include "coordination/coordination.h"
 #include "timer/timer.h"
 
 #include <functional>
@@ -19,12 +20,18 @@
     std::string relayAddress;
     // Another VM forwarded the request.
     bool relayed = false;
+    // The VM as a relay of requests; without an address it is none.
+    RequestRelay requestRelay = {};
+    // The VM reaches no server of at least one service.
+    bool disconnected = false;
 };
 
 class VmRegistry
 {
 public:
     void recordContact(Instant now, const VmContact &contact);
+    // Records that a server responded to a request of the VM.
+    void recordSuccess(Instant now, const std::string &vm);
     // Removes the VMs that have sent no request for so long that they hold no slots, and calls
     // `removed` for each.
     void removeExpired(Instant now, const std::function<void(const std::string &vm)> &removed);
@@ -36,13 +43,20 @@
     // Returns addresses of VMs that reach the leader directly, chosen at random, without `vm`.
     std::vector<std::string> pickRelays(Instant now, const std::string &vm,
                                         std::mt19937_64 &random) const;
+    // Returns VMs that reach servers, chosen at random, without `vm`. Those to which servers
+    // responded lately are preferred.
+    std::vector<RequestRelay> pickRequestRelays(Instant now, const std::string &vm,
+                                                std::mt19937_64 &random) const;
 
 private:
     struct VmState
     {
         Instant lastContactAt;
         Instant lastDirectContactAt;
+        Instant lastSuccessAt;
         std::string relayAddress;
+        RequestRelay requestRelay;
+        bool disconnected = false;
     };
 
     std::size_t countContactedSince(Instant since) const;
--- a/src/coordination/leaderclient.cpp
+++ b/src/coordination/leaderclient.cpp
@@ -22,6 +22,8 @@
 constexpr std::size_t RelaysProbedAtOnce = 2;
 // While a relay is used, control VMs are probed this often to return to the direct way.
 constexpr Milliseconds DirectProbePeriod { 1000 };
+// While this VM is disconnected from servers, it asks this often through which VMs it can send.
+constexpr Milliseconds RequestRelayRefreshPeriod { 1000 };
 
 } // namespace
 
@@ -61,6 +63,7 @@
     }
 
     const FleetView &view() const { return view_; }
+    const std::vector<RequestRelay> &requestRelays() const { return requestRelays_; }
     bool hasLeader() const
     {
         return leader_ && clients_.listenedSince(lastContactAt_) < LeaderTimeout;
@@ -118,6 +121,13 @@
             request.set_peer_address(options_.relayAddress->toString());
             request.set_wants_relays(relays_.isOutdated(timers_.now()));
         }
+        request.set_request_relay_address(options_.requestRelay.address);
+        request.set_availability_zone(options_.requestRelay.zone);
+        if (callbacks_.isDisconnected && callbacks_.isDisconnected()) {
+            request.set_disconnected(true);
+            const bool outdated = timers_.now() - requestRelaysAt_ >= RequestRelayRefreshPeriod;
+            request.set_wants_relays(outdated || request.wants_relays());
+        }
         if (callbacks_.externalSlots) {
             for (const auto &[server, count] : callbacks_.externalSlots(view_.epoch)) {
                 auto *held = request.add_held();
@@ -340,6 +350,14 @@
         if (!relays.empty()) {
             relays_.replace(timers_.now(), std::move(relays));
         }
+        if (reply.request_relays().empty()) {
+            return;
+        }
+        requestRelaysAt_ = timers_.now();
+        requestRelays_.clear();
+        for (const wire::RequestRelay &relay : reply.request_relays()) {
+            requestRelays_.push_back({ relay.address(), relay.availability_zone() });
+        }
     }
 
     static std::vector<peer::Address> parseRelays(const wire::FleetViewReply &reply)
@@ -453,6 +471,8 @@
     peer::Address documentSource_;
     DocumentFetcher documents_;
     RelayList relays_;
+    std::vector<RequestRelay> requestRelays_;
+    Instant requestRelaysAt_;
     // The last message of the leader came through a relay.
     bool lastPathWasRelay_ = false;
     bool leaderLossLogged_ = false;
@@ -512,6 +532,11 @@
     return impl_->leaderUnresponsiveTime();
 }
 
+const std::vector<RequestRelay> &LeaderClient::requestRelays() const
+{
+    return impl_->requestRelays();
+}
+
 std::vector<peer::Address> LeaderClient::controlAddresses() const
 {
     return impl_->controlAddresses();
--- a/src/coordination/vmregistry.cpp
+++ b/src/coordination/vmregistry.cpp
@@ -14,6 +14,10 @@
 constexpr Milliseconds UnreachableAfter { 1000 };
 // Enough that one of them most likely reaches the leader when nine in ten VMs do not.
 constexpr std::size_t RelaysPerVm = 32;
+// Enough to spread the requests of the VMs that are disconnected from servers.
+constexpr std::size_t RequestRelaysPerVm = 16;
+constexpr std::size_t MinProvenRelays = 4;
+constexpr Seconds SuccessWindow { 3 };
 
 } // namespace
 
@@ -24,6 +28,16 @@
     if (!contact.relayed) {
         vm.lastDirectContactAt = now;
         vm.relayAddress = contact.relayAddress;
+        vm.requestRelay = contact.requestRelay;
+    }
+    vm.disconnected = contact.disconnected;
+}
+
+void VmRegistry::recordSuccess(Instant now, const std::string &vm)
+{
+    const auto known = vms_.find(vm);
+    if (known != vms_.end()) {
+        known->second.lastSuccessAt = now;
     }
 }
 
@@ -77,4 +91,27 @@
     return picked;
 }
 
+std::vector<RequestRelay> VmRegistry::pickRequestRelays(Instant now, const std::string &vm,
+                                                        std::mt19937_64 &random) const
+{
+    std::vector<RequestRelay> proven;
+    std::vector<RequestRelay> others;
+    for (const auto &[name, state] : vms_) {
+        const bool isDirect = now - state.lastDirectContactAt < UnreachableAfter;
+        const bool usable = isDirect && !state.disconnected && !state.requestRelay.address.empty();
+        if (usable && name != vm) {
+            const bool succeeds = now - state.lastSuccessAt < SuccessWindow;
+            (succeeds ? proven : others).push_back(state.requestRelay);
+        }
+    }
+    std::vector<RequestRelay> picked;
+    std::sample(proven.begin(), proven.end(), std::back_inserter(picked), RequestRelaysPerVm,
+                random);
+    if (picked.size() < MinProvenRelays) {
+        std::sample(others.begin(), others.end(), std::back_inserter(picked),
+                    RequestRelaysPerVm - picked.size(), random);
+    }
+    return picked;
+}
+
 } // namespace daisyhaven::coordination
--- a/src/gateway/backendcall.cpp
+++ b/src/gateway/backendcall.cpp
@@ -67,7 +67,9 @@
     callbacks.connected = guarded([](BackendCall &self) {
         self.connected_ = true;
         self.connectTimer_ = TimerHandle();
-        self.context_.reachability.recordConnection(self.request_.service);
+        if (!self.goesToRelay()) {
+            self.context_.reachability.recordConnection(self.request_.service);
+        }
     });
     callbacks.belongsToCurrentRequest = [weak](const http::ResponseHead &head) {
         const auto self = weak.lock();
@@ -141,6 +143,9 @@
     }
     bodyEnded_ = true;
     connection_->endRequest();
+    if (goesToRelay()) {
+        return;
+    }
     const std::weak_ptr<BackendCall> weak = weak_from_this();
     silenceTimer_ =
         context_.timers.runAfter(context_.reachability.suspiciousSilence(request_.service), [weak] {
@@ -204,6 +209,9 @@
     headReceivedAt_ = context_.now();
     head_ = head;
     silenceTimer_ = TimerHandle();
+    if (goesToRelay()) {
+        return;
+    }
     context_.reachability.recordResponse(request_.service, latency());
     readStatement();
 }
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -1,6 +1,7 @@
 #include "gateway/internal/exchange.h"
 
 #include "gateway/internal/reachabilitymonitor.h"
+#include "gateway/internal/relayheaders.h"
 
 #include <xxhash.h>
 
@@ -83,9 +84,10 @@
 
 } // namespace
 
-Exchange::Exchange(const GatewayContext &context, http::ResponseSink *sink, http::RequestHead head)
-    : context_(context), sink_(sink), head_(std::move(head)), startedAt_(context.now()),
-      deadline_(startedAt_ + DefaultDeadline)
+Exchange::Exchange(const GatewayContext &context, http::ResponseSink *sink, http::RequestHead head,
+                   RequestOrigin origin)
+    : context_(context), sink_(sink), head_(std::move(head)), origin_(origin),
+      startedAt_(context.now()), deadline_(startedAt_ + DefaultDeadline)
 {
     const std::string *id = head_.headers.find(context_.options.headers.requestId);
     requestId_ = id == nullptr ? "" : *id;
@@ -116,6 +118,16 @@
 void Exchange::admit()
 {
     parseDeadline();
+    if (isRelayed()) {
+        const auto read = attempt([&]() -> Result<bool> {
+            BOOST_LEAF_CHECK(readRelayHeaders());
+            return true;
+        });
+        if (const auto *failure = std::get_if<Failure>(&read)) {
+            refuseAsRelay(failure->detail);
+            return;
+        }
+    }
     const auto found = attempt([&]() -> Result<bool> {
         BOOST_LEAF_CHECK(resolveRouteAndTeam());
         return true;
@@ -259,7 +271,7 @@
         + std::to_string(bodyBytes_) + " ";
     text.append(buffer_, 0, MaxFingerprintBodyBytes);
     fingerprint_ = XXH3_64bits(text.data(), text.size());
-    requestSlot(false);
+    requestSlot(sentAttempts_ > 0);
 }
 
 // ---- slot ----
@@ -293,7 +305,7 @@
 void Exchange::requestSlot(bool retry)
 {
     if (context_.reachability.isDisconnected(service_)) {
-        respondWithoutServers();
+        sendToRelay();
         return;
     }
     stage_ = Stage::AwaitingSlot;
@@ -310,6 +322,7 @@
         });
 }
 
+// Responds to a request that neither this VM nor a relay can send to a server.
 void Exchange::respondWithoutServers()
 {
     if (mayHaveRun_ || earlierResponse_) {
@@ -357,42 +370,67 @@
 
 void Exchange::sendToBackend(const Slot &slot)
 {
-    stage_ = Stage::CallingBackend;
     attemptedServers_.insert(slot.server);
+    startCall(slot, makeCallRequest(slot), makeCallCallbacks());
+}
+
+void Exchange::startCall(const Slot &slot, CallRequest request, CallCallbacks callbacks)
+{
+    stage_ = Stage::CallingBackend;
     lastServer_ = slot.server;
     call_ = std::make_shared<BackendCall>(context_, slot);
     bodyForwarded_ = false;
     const auto call = call_;
-    call->start(makeCallRequest(slot), makeCallCallbacks());
+    call->start(std::move(request), std::move(callbacks));
     if (stage_ == Stage::CallingBackend && call_ == call) {
         forwardBody();
     }
 }
 
-CallRequest Exchange::makeCallRequest(const Slot &slot) const
+// Returns the request without header fields.
+CallRequest Exchange::makeForwardedRequest() const
 {
-    const HeaderNames &names = context_.options.headers;
     CallRequest request;
     request.method = head_.method;
     request.target = requestTarget(head_);
     request.framing = head_.framing;
     request.contentLength = head_.contentLength;
     request.requestId = requestId_;
-    request.service = service_;
     request.idempotent = routing::isIdempotent(route_->kind);
-    http::Headers replaced;
-    replaced.add(names.deadlineMs, "");
-    replaced.add(names.expectedServer, "");
-    replaced.add(names.team, "");
-    replaced.add("Authorization", "");
+    return request;
+}
+
+// Adds the header fields of the caller that are forwarded, but for those in `replaced`, and the
+// remaining time.
+void Exchange::addForwardedHeaders(const http::Headers &replaced, http::Headers *headers) const
+{
+    const std::string &deadlineName = context_.options.headers.deadlineMs;
     for (const http::Header &field : head_.headers.fields()) {
         if (!http::isHopByHopHeader(field.name) && replaced.find(field.name) == nullptr) {
-            request.headers.add(field.name, field.value);
+            headers->add(field.name, field.value);
         }
     }
     const auto remaining =
         std::chrono::duration_cast<Milliseconds>(deadline_ - context_.now()).count();
-    request.headers.add(names.deadlineMs, std::to_string(std::max<std::int64_t>(remaining, 1)));
+    headers->add(deadlineName, std::to_string(std::max<std::int64_t>(remaining, 1)));
+}
+
+CallRequest Exchange::makeCallRequest(const Slot &slot) const
+{
+    const HeaderNames &names = context_.options.headers;
+    CallRequest request = makeForwardedRequest();
+    request.service = service_;
+    http::Headers replaced;
+    replaced.add(names.deadlineMs, "");
+    replaced.add(names.expectedServer, "");
+    replaced.add(names.team, "");
+    replaced.add("Authorization", "");
+    if (isRelayed()) {
+        replaced.add(RelayVersionHeader, "");
+        replaced.add(RelayAttemptsHeader, "");
+        replaced.add(RelayTokenHeader, "");
+    }
+    addForwardedHeaders(replaced, &request.headers);
     request.headers.add(names.expectedServer, slot.server);
     if (team_ != nullptr) {
         request.headers.add(names.team, team_->name);
@@ -674,7 +712,7 @@
 }
 
 // Ends the call, if there is one. Returns it if its slot is still to be released.
-std::shared_ptr<BackendCall> Exchange::endCall()
+std::shared_ptr<BackendCall> Exchange::endCall(RequestRelays::Outcome relayOutcome)
 {
     if (!call_) {
         return nullptr;
@@ -685,6 +723,10 @@
     call_->cancel();
     const auto call = std::move(call_);
     call_.reset();
+    if (!relay_.empty()) {
+        context_.requestRelays.recordEnd(context_.now(), std::exchange(relay_, ""), relayOutcome);
+        return nullptr;
+    }
     return std::exchange(slotReleased_, false) ? nullptr : call;
 }
 
@@ -786,6 +828,9 @@
     http::Headers headers;
     headers.add("X-Daisyhaven-Result", std::to_string(static_cast<int>(code)));
     const bool notRunStatus = info.httpStatus == 429 || info.httpStatus == 503;
+    if (isRelayed()) {
+        headers.add(context_.options.headers.requestId, requestId_);
+    }
     if (notRunStatus && retryAfter.count() > 0) {
         headers.add("Retry-After", formatSeconds(retryAfter));
     }
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -4,8 +4,10 @@
 #include "gateway/internal/context.h"
 #include "gateway/internal/exchange.h"
 #include "gateway/internal/reachabilitymonitor.h"
+#include "gateway/internal/requestrelays.h"
 #include "gateway/internal/slotclient.h"
 
+#include <algorithm>
 #include <map>
 #include <random>
 
@@ -20,6 +22,8 @@
 // The shutdown finishes this long before the process would be killed.
 constexpr Milliseconds ShutdownReserve { 700 };
 constexpr Seconds GaugeInterval { 10 };
+// Bounds the memory and processor time that this VM spends on requests of others.
+constexpr std::ptrdiff_t MaxRelayedRequests = 48;
 
 } // namespace
 
@@ -27,7 +31,10 @@
 class CallerSession : public http::ResponseSink, public std::enable_shared_from_this<CallerSession>
 {
 public:
-    CallerSession(Gateway::Impl &gateway, std::uint64_t id) : gateway_(gateway), id_(id) { }
+    CallerSession(Gateway::Impl &gateway, std::uint64_t id, RequestOrigin origin)
+        : gateway_(gateway), id_(id), origin_(origin)
+    {
+    }
 
     void open(event_base *base, int socket);
     bool isBusy() const
@@ -36,6 +43,10 @@
             || connection_->isReadingMessage() || connection_->isClosing();
     }
     bool hasActiveExchange() const { return exchange_ != nullptr || callerDisconnected_; }
+    bool isRelayedExchange() const
+    {
+        return origin_ == RequestOrigin::OtherVm && hasActiveExchange();
+    }
     bool isReadingMessage() const { return connection_->isReadingMessage(); }
     Instant lastReceived() const { return connection_->lastReceived(); }
     void abort() { connection_->abort(); }
@@ -59,6 +70,7 @@
 
     Gateway::Impl &gateway_;
     std::uint64_t id_;
+    RequestOrigin origin_;
     bool callerDisconnected_ =
         false; // the caller closed its connection while its request is still in progress
     std::shared_ptr<Exchange> exchange_;
@@ -72,18 +84,25 @@
          Metrics &metrics, GatewayOptions options)
         : base_(base), timers_(timers), metrics_(metrics), options_(std::move(options)),
           leader_(timers, clients,
-                  { options_.vm, incarnation_, options_.controlSeeds, std::nullopt,
-                    options_.documentParser, options_.relayAddress },
+                  { options_.vm,
+                    incarnation_,
+                    options_.controlSeeds,
+                    std::nullopt,
+                    options_.documentParser,
+                    options_.relayAddress,
+                    { options_.requestRelayAddress.toString(), options_.zone } },
                   { nullptr,
                     [this](std::uint64_t epoch) { return slots_.slotsHeldOutsideEpoch(epoch); },
                     [this] { return slots_.unreportedLocalAdmissions(); },
-                    [this](const auto &spent) { slots_.markAdmissionsReported(spent); } }),
+                    [this](const auto &spent) { slots_.markAdmissionsReported(spent); },
+                    [this] { return reachability_.isAnyDisconnected(); } }),
           relay_(timers, server, clients, leader_),
           slots_(timers, leader_, metrics, options_.vm, incarnation_, options_.rateTolerance),
           pool_(base, timers), reachability_(base, timers, leader_, pool_),
+          requestRelays_(std::random_device {}()),
           servicePicker_(std::random_device {}()), context_ {
-              base_,  timers_, metrics_,      options_,      leader_,
-              slots_, pool_,   reachability_, servicePicker_
+              base_,  timers_, metrics_,      options_,       leader_,
+              slots_, pool_,   reachability_, requestRelays_, servicePicker_
           }
     {
     }
@@ -91,8 +110,13 @@
     Result<void> start()
     {
         BOOST_LEAF_ASSIGN(listener_,
-                          http::Listener::open(base_, options_.listenAddress,
-                                               [this](int socket) { accept(socket); }));
+                          http::Listener::open(base_, options_.listenAddress, [this](int socket) {
+                              accept(socket, RequestOrigin::Caller);
+                          }));
+        BOOST_LEAF_ASSIGN(
+            relayListener_,
+            http::Listener::open(base_, options_.requestRelayAddress,
+                                 [this](int socket) { accept(socket, RequestOrigin::OtherVm); }));
         leader_.start();
         sweep_ = timers_.runEvery(ConnectionSweepInterval, [this] { sweep(); });
         return {};
@@ -100,6 +124,13 @@
 
     bool isReady() const { return !stoppingSince_ && leader_.view().routingTable != nullptr; }
     bool isStopping() const { return stoppingSince_.has_value(); }
+    bool mayRelay() const
+    {
+        const auto relayed =
+            std::count_if(sessions_.begin(), sessions_.end(),
+                          [](const auto &session) { return session.second->isRelayedExchange(); });
+        return !isStopping() && relayed <= MaxRelayedRequests;
+    }
     const GatewayContext &context() const { return context_; }
     void setSeeds(std::vector<peer::Address> seeds) { leader_.setSeeds(std::move(seeds)); }
 
@@ -125,10 +156,10 @@
     }
 
 private:
-    void accept(int socket)
+    void accept(int socket, RequestOrigin origin)
     {
         const std::uint64_t id = ++lastSession_;
-        const auto session = std::make_shared<CallerSession>(*this, id);
+        const auto session = std::make_shared<CallerSession>(*this, id, origin);
         sessions_[id] = session;
         session->open(base_, socket);
     }
@@ -208,9 +239,11 @@
     SlotClient slots_;
     BackendConnectionPool pool_;
     ReachabilityMonitor reachability_;
+    RequestRelays requestRelays_;
     routing::WeightedServicePicker servicePicker_;
     GatewayContext context_;
     std::unique_ptr<http::Listener> listener_;
+    std::unique_ptr<http::Listener> relayListener_;
     std::uint64_t lastSession_ = 0;
     std::map<std::uint64_t, std::shared_ptr<CallerSession>> sessions_;
     std::optional<Instant> stoppingSince_;
@@ -256,14 +289,19 @@
 
 void CallerSession::startExchange(http::RequestHead head)
 {
-    exchange_ = std::make_shared<Exchange>(gateway_.context(), this, std::move(head));
+    exchange_ = std::make_shared<Exchange>(gateway_.context(), this, std::move(head), origin_);
     const auto exchange = exchange_;
     const std::weak_ptr<CallerSession> weak = weak_from_this();
-    exchange->start([weak] {
+    const auto finished = [weak] {
         if (const auto self = weak.lock()) {
             self->exchangeFinished();
         }
-    });
+    };
+    if (origin_ == RequestOrigin::OtherVm && !gateway_.mayRelay()) {
+        exchange->refuseRelayed("this VM is stopping or relays too many requests", finished);
+        return;
+    }
+    exchange->start(finished);
 }
 
 void CallerSession::exchangeFinished()
@@ -286,7 +324,8 @@
     }
     http::RequestHead head;
     head.method = "GET";
-    const auto exchange = std::make_shared<Exchange>(gateway_.context(), this, std::move(head));
+    const auto exchange =
+        std::make_shared<Exchange>(gateway_.context(), this, std::move(head), origin_);
     exchange_ = exchange;
     const std::weak_ptr<CallerSession> weak = weak_from_this();
     exchange->rejectUnparsed(failure, [weak] {
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -66,6 +66,8 @@
     scheduler::RateTolerance rateTolerance;
     // Address of the server that is passed to Gateway::create(), as other VMs reach it.
     peer::Address relayAddress;
+    // Address at which this VM accepts requests of other VMs that reach no backend server.
+    peer::Address requestRelayAddress;
 };
 
 class Gateway
--- a/src/gateway/internal/backendcall.h
+++ b/src/gateway/internal/backendcall.h
@@ -33,6 +33,7 @@
     http::Framing framing = http::Framing::None;
     std::uint64_t contentLength = 0;
     std::string requestId;
+    // Service of the server; empty if the request goes to a relay.
     std::string service;
     bool idempotent = false;
 };
@@ -83,6 +84,7 @@
     void onHead(const http::ResponseHead &head);
     void onBody(std::string_view data);
     void onEnd(bool reusable);
+    bool goesToRelay() const { return request_.service.empty(); }
     void readStatement();
     void onConnectionClosed();
     void reportFailure(const CallFailure &failure);
--- a/src/gateway/internal/context.h
+++ b/src/gateway/internal/context.h
@@ -7,6 +7,7 @@
 
 class BackendConnectionPool;
 class ReachabilityMonitor;
+class RequestRelays;
 class SlotClient;
 
 struct GatewayContext
@@ -19,6 +20,7 @@
     SlotClient &slots;
     BackendConnectionPool &pool;
     ReachabilityMonitor &reachability;
+    RequestRelays &requestRelays;
     routing::WeightedServicePicker &servicePicker;
 
     Instant now() const { return timers.now(); }
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -7,6 +7,7 @@
 
 #include "gateway/internal/backendcall.h"
 #include "gateway/internal/context.h"
+#include "gateway/internal/requestrelays.h"
 #include "gateway/internal/slotclient.h"
 
 #include <memory>
@@ -16,10 +17,18 @@
 
 namespace daisyhaven::gateway {
 
+// Where a request comes from.
+enum class RequestOrigin : std::uint8_t {
+    Caller,
+    // Another entry VM that reaches no server itself and uses this one as a relay.
+    OtherVm,
+};
+
 class Exchange : public std::enable_shared_from_this<Exchange>
 {
 public:
-    Exchange(const GatewayContext &context, http::ResponseSink *sink, http::RequestHead head);
+    Exchange(const GatewayContext &context, http::ResponseSink *sink, http::RequestHead head,
+             RequestOrigin origin);
     Exchange(const Exchange &) = delete;
     Exchange &operator=(const Exchange &) = delete;
 
@@ -27,6 +36,8 @@
     void start(std::function<void()> finished);
     // Sends an error response to a message that could not be parsed.
     void rejectUnparsed(const Failure &failure, std::function<void()> finished);
+    // Tells the VM that sent the request to use another relay.
+    void refuseRelayed(const std::string &reason, std::function<void()> finished);
     void onBodyData(std::string_view data);
     void onBodyEnd();
     // Handles a parse error in the rest of the caller's message.
@@ -56,11 +67,22 @@
     void onSlotResult(const SlotResult &result);
     void onSlotRejected(const SlotRejection &rejection);
     void sendToBackend(const Slot &slot);
+    void startCall(const Slot &slot, CallRequest request, CallCallbacks callbacks);
+    CallRequest makeForwardedRequest() const;
+    void addForwardedHeaders(const http::Headers &replaced, http::Headers *headers) const;
     CallRequest makeCallRequest(const Slot &slot) const;
     CallCallbacks makeCallCallbacks();
     void forwardBody();
     void onResponse(const http::ResponseHead &head, const std::string &body);
     void cancelSlotRequest();
+    bool isRelayed() const { return origin_ == RequestOrigin::OtherVm; }
+    Result<void> readRelayHeaders();
+    void refuseAsRelay(const std::string &reason);
+    void sendToRelay();
+    CallRequest makeRelayRequest() const;
+    CallCallbacks makeRelayCallbacks();
+    void onRelayResponse(const http::ResponseHead &head, const std::string &body);
+    void onRelayFailed(const CallFailure &failure);
     void respondWithoutServers();
     void abortResponse(ResultCode code, const std::string &detail);
     bool isNotExecuted(const http::ResponseHead &head) const;
@@ -74,7 +96,8 @@
     void onServerSilent();
     void abandonLostCall();
     void retryOrFail(const CallFailure &failure);
-    std::shared_ptr<BackendCall> endCall();
+    std::shared_ptr<BackendCall>
+    endCall(RequestRelays::Outcome relayOutcome = RequestRelays::Outcome::Responded);
     void releaseSlot(scheduler::Outcome outcome);
     void releaseSlotAfterVerdict(scheduler::Outcome outcome, std::function<void()> released);
     void onDeadline();
@@ -87,6 +110,7 @@
     GatewayContext context_;
     http::ResponseSink *sink_;
     http::RequestHead head_;
+    RequestOrigin origin_;
     std::function<void()> finished_;
     Stage stage_ = Stage::ReadingBody;
     std::string requestId_;
@@ -111,6 +135,9 @@
     // The leader knows that the slot of call_ is free, although the call goes on.
     bool slotReleased_ = false;
     std::set<std::string> attemptedServers_;
+    // Address of the relay to which call_ goes; empty if it goes to a server.
+    std::string relay_;
+    std::set<std::string> attemptedRelays_;
     std::string lastServer_;
     std::uint32_t sentAttempts_ = 0;
     std::uint32_t unsentAttempts_ = 0;
