--- a/src/coordination/coordination_test.cpp
+++ b/src/coordination/coordination_test.cpp
@@ -199,7 +199,7 @@
 
 routing::DocumentParse readEmptyTable(std::string document)
 {
-    return [document]() -> routing::ParseProgress {
+    return [document = std::move(document)]() -> routing::ParseProgress {
         if (document == "invalid") {
             return Failure { ResultCode::DeclarationInvalid, "the test document is invalid" };
         }
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -3,54 +3,22 @@
 #include "gateway/internal/reachabilitymonitor.h"
 #include "gateway/internal/relayheaders.h"
 
-#include <xxhash.h>
-
-#include <array>
-#include <charconv>
-#include <cstdio>
 #include <utility>
 
 namespace daisyhaven::gateway {
 
 namespace {
 
-// Body size that is read before a slot is requested, and that is retained for a retry.
-constexpr std::size_t MaxRetainedBodyBytes = 512UL * 1024;
-constexpr std::size_t MaxFingerprintBodyBytes = 4096;
-// Deadline of a request without a deadline header.
-constexpr Seconds DefaultDeadline { 30 };
 // A retry is made only if more than this time is left until the deadline.
 constexpr Milliseconds MinTimeForRetry { 80 };
 // Limit on attempts that end before any byte of the request is sent.
 constexpr std::uint32_t MaxUnsentAttempts = 4;
-// Requests wait this long until a VM that has just started receives its configuration: control VMs
-// that start at the same time need a second to elect a leader.
-constexpr Milliseconds MaxWaitForConfiguration { 1500 };
-constexpr Milliseconds ConfigurationCheckInterval { 25 };
 // Retry-After of a request that ran on no server: a retry after this time gets another server.
 constexpr Milliseconds RetryAfterNotRun { 100 };
 // Number of route priorities. A team's priority takes precedence over every route priority.
 constexpr std::uint32_t RoutePriorityCount = 16;
 // Retry-After of a request that this VM cannot send to any server. It checks its links as often.
 constexpr Milliseconds RetryAfterDisconnected { 300 };
-constexpr std::string_view BearerPrefix = "Bearer ";
-
-std::string bearerToken(const http::Headers &headers)
-{
-    const std::string *field = headers.find("authorization");
-    const bool bearer =
-        field != nullptr && field->compare(0, BearerPrefix.size(), BearerPrefix) == 0;
-    return bearer ? field->substr(BearerPrefix.size()) : "";
-}
-
-// Returns whether the VM's own links may be the cause.
-bool isNetworkFailure(scheduler::Outcome outcome)
-{
-    return outcome == scheduler::Outcome::ConnectRefused
-        || outcome == scheduler::Outcome::ConnectTimeout
-        || outcome == scheduler::Outcome::ConnectionLost
-        || outcome == scheduler::Outcome::ResponseTimeout;
-}
 
 bool isServerError(int status)
 {
@@ -68,212 +36,8 @@
     return kept;
 }
 
-// Formats seconds with three decimals: the Retry-After header of this gateway may hold fractions.
-std::string formatSeconds(Duration duration)
-{
-    std::array<char, 32> text {};
-    std::snprintf(text.data(), text.size(), "%.3f",
-                  std::chrono::duration<double>(duration).count());
-    return text.data();
-}
-
-std::string requestTarget(const http::RequestHead &head)
-{
-    return head.query.empty() ? head.path : head.path + "?" + head.query;
-}
-
 } // namespace
 
-Exchange::Exchange(const GatewayContext &context, http::ResponseSink *sink, http::RequestHead head,
-                   RequestOrigin origin)
-    : context_(context), sink_(sink), head_(std::move(head)), origin_(origin),
-      startedAt_(context.now()), deadline_(startedAt_ + DefaultDeadline)
-{
-    const std::string *id = head_.headers.find(context_.options.headers.requestId);
-    requestId_ = id == nullptr ? "" : *id;
-}
-
-// ---- admission ----
-
-// Admission runs in the next iteration of the event loop, so that a body that arrived with the head
-// is read first.
-void Exchange::start(std::function<void()> finished)
-{
-    finished_ = std::move(finished);
-    const std::weak_ptr<Exchange> weak = weak_from_this();
-    context_.timers.post([weak] {
-        const auto self = weak.lock();
-        if (self && self->stage_ == Stage::ReadingBody) {
-            self->admit();
-        }
-    });
-}
-
-void Exchange::rejectUnparsed(const Failure &failure, std::function<void()> finished)
-{
-    finished_ = std::move(finished);
-    reject(failure.code, failure.detail, Duration(0));
-}
-
-void Exchange::admit()
-{
-    parseDeadline();
-    if (isRelayed()) {
-        const auto read = attempt([&]() -> Result<bool> {
-            BOOST_LEAF_CHECK(readRelayHeaders());
-            return true;
-        });
-        if (const auto *failure = std::get_if<Failure>(&read)) {
-            refuseAsRelay(failure->detail);
-            return;
-        }
-    }
-    const auto found = attempt([&]() -> Result<bool> {
-        BOOST_LEAF_CHECK(resolveRouteAndTeam());
-        return true;
-    });
-    if (const auto *failure = std::get_if<Failure>(&found)) {
-        const bool wait = failure->code == ResultCode::NotReady
-            && context_.now() - startedAt_ < MaxWaitForConfiguration && context_.now() < deadline_;
-        if (wait) {
-            scheduleAdmission();
-            return;
-        }
-        reject(failure->code, failure->detail, Milliseconds(500));
-        return;
-    }
-    if (route_->timeout) {
-        deadline_ = std::min(deadline_, startedAt_ + Duration(*route_->timeout));
-    }
-    if (context_.now() >= deadline_) {
-        reject(ResultCode::DeadlineUnreachable, "deadline passed before admission", Duration(0));
-        return;
-    }
-    const std::weak_ptr<Exchange> weak = weak_from_this();
-    deadlineTimer_ = context_.timers.runAfter(deadline_ - context_.now(), [weak] {
-        if (const auto self = weak.lock()) {
-            self->onDeadline();
-        }
-    });
-    admitted_ = true;
-    const bool tooLarge = std::max(bodyBytes_, head_.contentLength) > table_->limits().maxBodyBytes;
-    if (tooLarge) {
-        reject(ResultCode::BodyTooLarge, "", Duration(0));
-        return;
-    }
-    if (head_.expectsContinue && !bodyEnded_ && sink_ != nullptr) {
-        sink_->sendContinue();
-    }
-    bodyEnded_ = bodyEnded_ || head_.framing == http::Framing::None;
-    if (isBodyReady()) {
-        requestFirstSlot();
-    }
-}
-
-void Exchange::scheduleAdmission()
-{
-    const std::weak_ptr<Exchange> weak = weak_from_this();
-    deadlineTimer_ = context_.timers.runAfter(ConfigurationCheckInterval, [weak] {
-        const auto self = weak.lock();
-        if (self && self->stage_ == Stage::ReadingBody) {
-            self->admit();
-        }
-    });
-}
-
-Result<void> Exchange::resolveRouteAndTeam()
-{
-    table_ = context_.leader.view().routingTable;
-    if (!table_) {
-        return fail(ResultCode::NotReady, "no configuration received yet");
-    }
-    const std::string *host = head_.headers.find("host");
-    route_ = table_->findRoute(host == nullptr ? "" : *host, head_.path);
-    if (route_ == nullptr) {
-        return fail(ResultCode::UnknownRoute, "");
-    }
-    const std::string key = bearerToken(head_.headers);
-    team_ = key.empty() ? nullptr : table_->findTeamByKey(key);
-    const bool keyNeeded = !table_->teams().empty() && !route_->allowUnauthenticated;
-    if (keyNeeded && team_ == nullptr) {
-        return fail(key.empty() ? ResultCode::KeyMissing : ResultCode::KeyInvalid, "");
-    }
-    service_ = context_.servicePicker.pick(*route_);
-    return {};
-}
-
-void Exchange::parseDeadline()
-{
-    const std::string *field = head_.headers.find(context_.options.headers.deadlineMs);
-    if (field == nullptr) {
-        return;
-    }
-    std::int64_t milliseconds = 0;
-    const auto parsed = std::from_chars(field->data(), field->data() + field->size(), milliseconds);
-    if (parsed.ec == std::errc() && milliseconds > 0) {
-        deadline_ = startedAt_ + Milliseconds(milliseconds);
-    }
-}
-
-bool Exchange::isBodyReady() const
-{
-    return bodyEnded_ || buffer_.size() >= MaxRetainedBodyBytes;
-}
-
-void Exchange::onBodyData(std::string_view data)
-{
-    if (stage_ == Stage::Done) {
-        return;
-    }
-    bodyBytes_ += data.size();
-    buffer_.append(data);
-    if (!admitted_) {
-        return;
-    }
-    if (bodyBytes_ > table_->limits().maxBodyBytes) {
-        reject(ResultCode::BodyTooLarge, "", Duration(0));
-        return;
-    }
-    if (stage_ == Stage::CallingBackend) {
-        forwardBody();
-        return;
-    }
-    if (buffer_.size() >= MaxRetainedBodyBytes && !bodyPaused_ && sink_ != nullptr) {
-        bodyPaused_ = true;
-        sink_->pauseBody();
-    }
-    if (stage_ == Stage::ReadingBody && isBodyReady()) {
-        requestFirstSlot();
-    }
-}
-
-void Exchange::onBodyEnd()
-{
-    if (stage_ == Stage::Done) {
-        return;
-    }
-    bodyEnded_ = true;
-    if (!admitted_) {
-        return;
-    }
-    if (stage_ == Stage::ReadingBody) {
-        requestFirstSlot();
-    } else if (stage_ == Stage::CallingBackend) {
-        forwardBody();
-    }
-}
-
-// Runs once the body is complete or has reached the retained size.
-void Exchange::requestFirstSlot()
-{
-    const std::string team = team_ == nullptr ? "" : team_->name;
-    std::string text = head_.method + " " + requestTarget(head_) + " " + team + " "
-        + std::to_string(bodyBytes_) + " ";
-    text.append(buffer_, 0, MaxFingerprintBodyBytes);
-    fingerprint_ = XXH3_64bits(text.data(), text.size());
-    requestSlot(sentAttempts_ > 0);
-}
-
 // ---- slot ----
 
 scheduler::SlotRequest Exchange::makeSlotRequest(bool retry) const
@@ -392,7 +156,7 @@
 {
     CallRequest request;
     request.method = head_.method;
-    request.target = requestTarget(head_);
+    request.target = requestTarget();
     request.framing = head_.framing;
     request.contentLength = head_.contentLength;
     request.requestId = requestId_;
@@ -820,105 +584,4 @@
     finish();
 }
 
-// ---- completion ----
-
-void Exchange::reject(ResultCode code, const std::string &detail, Duration retryAfter)
-{
-    const ResultInfo &info = resultInfo(code);
-    http::Headers headers;
-    headers.add("X-Daisyhaven-Result", std::to_string(static_cast<int>(code)));
-    const bool notRunStatus = info.httpStatus == 429 || info.httpStatus == 503;
-    if (isRelayed()) {
-        headers.add(context_.options.headers.requestId, requestId_);
-    }
-    if (notRunStatus && retryAfter.count() > 0) {
-        headers.add("Retry-After", formatSeconds(retryAfter));
-    }
-    logOutcome(notRunStatus ? "refused" : "failed", code, detail);
-    releaseSlot(scheduler::Outcome::Cancelled);
-    if (sink_ != nullptr) {
-        const std::string text = std::string(info.name) + "\n";
-        sink_->sendHead(info.httpStatus, headers, http::Framing::Length, text.size());
-        sink_->sendBody(head_.method == "HEAD" ? std::string_view() : std::string_view(text));
-    }
-    context_.metrics.addToCounter("daisyhaven_refused_total", { { "cause", info.name } });
-    responded_ = true;
-    recordMetrics(info.httpStatus);
-    finish();
-}
-
-void Exchange::logOutcome(const char *what, ResultCode code, const std::string &detail) const
-{
-    const auto &view = context_.leader.view();
-    const ResultInfo &info = resultInfo(code);
-    const bool notRun = info.executionStatus == ExecutionStatus::NotExecuted && !mayHaveRun_;
-    logEvent(notRun ? Event::RequestRefused : Event::RequestFailed,
-             { { "request", requestId_ },
-               { "what", what },
-               { "result", info.name },
-               { "detail", detail },
-               { "route", route_ == nullptr ? "" : route_->name },
-               { "service", service_ },
-               { "server", lastServer_ },
-               { "team", team_ == nullptr ? "" : team_->name },
-               { "sends", sentAttempts_ },
-               { "unsentTries", unsentAttempts_ },
-               { "ageMs", (context_.now() - startedAt_).count() / 1000 },
-               { "msLeft", (deadline_ - context_.now()).count() / 1000 },
-               { "leader", context_.leader.hasLeader() ? "yes" : "no" },
-               { "epoch", view.epoch },
-               { "viewSequence", view.sequence },
-               { "version", view.configurationVersion } });
-}
-
-void Exchange::logIfLate() const
-{
-    const Duration age = context_.now() - startedAt_;
-    if (age <= Duration(route_->targetLatency)) {
-        return;
-    }
-    logEvent(Event::RequestLate,
-             { { "request", requestId_ },
-               { "route", route_->name },
-               { "service", service_ },
-               { "server", lastServer_ },
-               { "ageMs", age.count() / 1000 },
-               { "targetMs", route_->targetLatency.count() },
-               { "serverMs", backendTime_.count() / 1000 },
-               { "sends", sentAttempts_ },
-               { "unsentTries", unsentAttempts_ } });
-}
-
-void Exchange::recordMetrics(int status) const
-{
-    context_.metrics.addToCounter("daisyhaven_requests_total",
-                                  { { "route", route_ == nullptr ? "" : route_->name },
-                                    { "status", std::to_string(status) } });
-    context_.metrics.observe(
-        "daisyhaven_request_seconds",
-        { { "kind",
-            route_ != nullptr && routing::isIdempotent(route_->kind) ? "idempotent" : "other" } },
-        std::chrono::duration<double>(context_.now() - startedAt_).count());
-}
-
-void Exchange::finish()
-{
-    stage_ = Stage::Done;
-    deadlineTimer_ = TimerHandle();
-    releaseSlot(scheduler::Outcome::Cancelled);
-    buffer_.clear();
-    buffer_.shrink_to_fit();
-    const auto finished = std::move(finished_);
-    finished_ = nullptr;
-    http::ResponseSink *sink = sink_;
-    sink_ = nullptr;
-    const auto self = shared_from_this();
-    if (finished) {
-        finished();
-    }
-    if (sink != nullptr && responded_) {
-        sink->endResponse();
-    }
-}
-
 } // namespace daisyhaven::gateway
--- /dev/null
+++ b/src/gateway/exchangecompletion.cpp
@@ -0,0 +1,121 @@
+// The end of an exchange: rejections, logs, metrics and the release of its state.
+#include "gateway/internal/exchange.h"
+
+#include <array>
+#include <cstdio>
+
+namespace daisyhaven::gateway {
+
+namespace {
+
+// Formats seconds with three decimals: the Retry-After header of this gateway may hold fractions.
+std::string formatSeconds(Duration duration)
+{
+    std::array<char, 32> text {};
+    std::snprintf(text.data(), text.size(), "%.3f",
+                  std::chrono::duration<double>(duration).count());
+    return text.data();
+}
+
+} // namespace
+
+void Exchange::reject(ResultCode code, const std::string &detail, Duration retryAfter)
+{
+    const ResultInfo &info = resultInfo(code);
+    http::Headers headers;
+    headers.add("X-Daisyhaven-Result", std::to_string(static_cast<int>(code)));
+    const bool notRunStatus = info.httpStatus == 429 || info.httpStatus == 503;
+    if (isRelayed()) {
+        headers.add(context_.options.headers.requestId, requestId_);
+    }
+    if (notRunStatus && retryAfter.count() > 0) {
+        headers.add("Retry-After", formatSeconds(retryAfter));
+    }
+    logOutcome(notRunStatus ? "refused" : "failed", code, detail);
+    releaseSlot(scheduler::Outcome::Cancelled);
+    if (sink_ != nullptr) {
+        const std::string text = std::string(info.name) + "\n";
+        sink_->sendHead(info.httpStatus, headers, http::Framing::Length, text.size());
+        sink_->sendBody(head_.method == "HEAD" ? std::string_view() : std::string_view(text));
+    }
+    context_.metrics.addToCounter("daisyhaven_refused_total", { { "cause", info.name } });
+    responded_ = true;
+    recordMetrics(info.httpStatus);
+    finish();
+}
+
+void Exchange::logOutcome(const char *what, ResultCode code, const std::string &detail) const
+{
+    const auto &view = context_.leader.view();
+    const ResultInfo &info = resultInfo(code);
+    const bool notRun = info.executionStatus == ExecutionStatus::NotExecuted && !mayHaveRun_;
+    logEvent(notRun ? Event::RequestRefused : Event::RequestFailed,
+             { { "request", requestId_ },
+               { "what", what },
+               { "result", info.name },
+               { "detail", detail },
+               { "route", route_ == nullptr ? "" : route_->name },
+               { "service", service_ },
+               { "server", lastServer_ },
+               { "team", team_ == nullptr ? "" : team_->name },
+               { "sends", sentAttempts_ },
+               { "unsentTries", unsentAttempts_ },
+               { "ageMs", (context_.now() - startedAt_).count() / 1000 },
+               { "msLeft", (deadline_ - context_.now()).count() / 1000 },
+               { "leader", context_.leader.hasLeader() ? "yes" : "no" },
+               { "epoch", view.epoch },
+               { "viewSequence", view.sequence },
+               { "version", view.configurationVersion } });
+}
+
+void Exchange::logIfLate() const
+{
+    const Duration age = context_.now() - startedAt_;
+    if (age <= Duration(route_->targetLatency)) {
+        return;
+    }
+    logEvent(Event::RequestLate,
+             { { "request", requestId_ },
+               { "route", route_->name },
+               { "service", service_ },
+               { "server", lastServer_ },
+               { "ageMs", age.count() / 1000 },
+               { "targetMs", route_->targetLatency.count() },
+               { "serverMs", backendTime_.count() / 1000 },
+               { "sends", sentAttempts_ },
+               { "unsentTries", unsentAttempts_ } });
+}
+
+void Exchange::recordMetrics(int status) const
+{
+    context_.metrics.addToCounter("daisyhaven_requests_total",
+                                  { { "route", route_ == nullptr ? "" : route_->name },
+                                    { "status", std::to_string(status) } });
+    context_.metrics.observe(
+        "daisyhaven_request_seconds",
+        { { "kind",
+            route_ != nullptr && routing::isIdempotent(route_->kind) ? "idempotent" : "other" } },
+        std::chrono::duration<double>(context_.now() - startedAt_).count());
+}
+
+void Exchange::finish()
+{
+    stage_ = Stage::Done;
+    deadlineTimer_ = TimerHandle();
+    releaseSlot(scheduler::Outcome::Cancelled);
+    buffer_.clear();
+    buffer_.shrink_to_fit();
+    const auto finished = std::move(finished_);
+    finished_ = nullptr;
+    http::ResponseSink *sink = sink_;
+    sink_ = nullptr;
+    const auto self = shared_from_this();
+    if (finished) {
+        finished();
+    }
+    if (sink != nullptr && responded_) {
+        sink->endResponse();
+    }
+}
+
+} // namespace daisyhaven::gateway
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -48,6 +48,9 @@
     void onSinkDrained();
 
 private:
+    // Body size that is read before a slot is requested, and that is retained for a retry.
+    static constexpr std::size_t MaxRetainedBodyBytes = 512UL * 1024;
+
     enum class Stage : std::uint8_t {
         ReadingBody,
         AwaitingSlot,
@@ -61,6 +64,7 @@
     Result<void> resolveRouteAndTeam();
     void parseDeadline();
     bool isBodyReady() const;
+    std::string requestTarget() const;
     void requestFirstSlot();
     scheduler::SlotRequest makeSlotRequest(bool retry) const;
     void requestSlot(bool retry);
--- a/src/gateway/internal/slotclient.h
+++ b/src/gateway/internal/slotclient.h
@@ -39,6 +39,9 @@
 
 using SlotResult = std::variant<Slot, SlotRejection>;
 
+// Returns whether the network, and so this VM's own links, may have caused the outcome.
+bool isNetworkFailure(scheduler::Outcome outcome);
+
 class SlotClient
 {
 public:
--- a/src/gateway/reachability.cpp
+++ b/src/gateway/reachability.cpp
@@ -64,6 +64,7 @@
         return (server->suspected ? 2 : 0) + (repeatsZone ? 1 : 0);
     };
     std::vector<std::pair<int, const scheduler::KnownServer *>> ranked;
+    ranked.reserve(candidates.size());
     for (const scheduler::KnownServer *server : candidates) {
         ranked.emplace_back(rank(server), server);
     }
--- a/src/gateway/requestrelays_test.cpp
+++ b/src/gateway/requestrelays_test.cpp
@@ -109,9 +109,9 @@
     void operator()(event_base *base) const { event_base_free(base); }
 };
 
-routing::DocumentParse parseTestDocument(std::string)
+routing::DocumentParse parseTestDocument(std::string document)
 {
-    return []() -> routing::ParseProgress {
+    return [document = std::move(document)]() -> routing::ParseProgress {
         routing::RoutingTableSpec spec;
         spec.services = { { "orders", "/", 0, Duration(0), 0 } };
         for (const auto &[prefix, kind] :
--- a/src/gateway/slotclient.cpp
+++ b/src/gateway/slotclient.cpp
@@ -27,15 +27,22 @@
     return static_cast<std::uint32_t>(std::max<Duration::rep>((until - now).count() / 1000, 0));
 }
 
+// A server that refuses connections is reached; the others may be cut off from this VM only.
 bool isPathFailure(scheduler::Outcome outcome)
 {
-    return outcome == scheduler::Outcome::ConnectTimeout
-        || outcome == scheduler::Outcome::ConnectionLost
-        || outcome == scheduler::Outcome::ResponseTimeout;
+    return isNetworkFailure(outcome) && outcome != scheduler::Outcome::ConnectRefused;
 }
 
 } // namespace
 
+bool isNetworkFailure(scheduler::Outcome outcome)
+{
+    return outcome == scheduler::Outcome::ConnectRefused
+        || outcome == scheduler::Outcome::ConnectTimeout
+        || outcome == scheduler::Outcome::ConnectionLost
+        || outcome == scheduler::Outcome::ResponseTimeout;
+}
+
 SlotClient::SlotClient(TimerService &timers, coordination::LeaderClient &leader, Metrics &metrics,
                        std::string vm, std::uint64_t incarnation,
                        const scheduler::RateTolerance &rateTolerance)
