A call that hangs counts as an attempt before it is sent another way

Cause: whether another attempt is left was asked before the call that hung was counted. Test: requestrelays_test SilentServer/oneAttempt ran twice before.

--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -413,7 +413,9 @@
 // leader is told that the slot says nothing about the server.
 void Exchange::abandonLostCall()
 {
-    if (mayRetry(true)) {
+    // The call counts as an attempt only once it has ended.
+    const bool isLastAttempt = sentAttempts_ + 1 >= route_->maxAttempts;
+    if (!isLastAttempt && mayRetry(true)) {
         ++sentAttempts_;
         mayHaveRun_ = true;
         releaseSlot(scheduler::Outcome::VmDisconnected);
--- a/src/gateway/requestrelays_test.cpp
+++ b/src/gateway/requestrelays_test.cpp
@@ -114,18 +114,20 @@
     return [document = std::move(document)]() -> routing::ParseProgress {
         routing::RoutingTableSpec spec;
         spec.services = { { "orders", "/", 0, Duration(0), 0 } };
-        for (const auto &[prefix, kind] :
-             { std::pair { "/read/", routing::RouteKind::Idempotent },
-               std::pair { "/write/", routing::RouteKind::NonIdempotent } }) {
+        const auto addRoute = [&](const char *prefix, routing::RouteKind kind,
+                                  std::uint32_t maxAttempts) {
             routing::Route route;
             route.name = prefix;
             route.host = "shop.example";
             route.pathPrefix = prefix;
             route.kind = kind;
             route.services = { { "orders", 1 } };
-            route.maxAttempts = 2;
+            route.maxAttempts = maxAttempts;
             spec.routes.push_back(route);
-        }
+        };
+        addRoute("/read/", routing::RouteKind::Idempotent, 2);
+        addRoute("/read-once/", routing::RouteKind::Idempotent, 1);
+        addRoute("/write/", routing::RouteKind::NonIdempotent, 2);
         const auto table = attempt([&] { return routing::RoutingTable::create(spec); });
         return std::get<routing::RoutingTable>(table);
     };
@@ -251,17 +253,16 @@
         std::unique_ptr<Gateway> gateway;
     };
 
-    // Starts a VM whose leader names `backends` backend servers at `backend`.
-    Vm startVm(Port leader, Port callers, Port peers, Port relay, Port backend, int backends,
-               std::vector<peer::Address> requestRelays)
+    // Starts a VM whose leader names these servers and request relays, and grants slots of the
+    // first server.
+    Vm startVm(Port leader, Port callers, Port peers, Port relay,
+               std::vector<peer::Address> servers, std::vector<peer::Address> requestRelays)
     {
         const peer::Credentials credentials { peer::Role::Vm, "test", "", "",
                                               peer::Protection::None };
         Vm vm;
-        vm.leader = std::make_unique<LeaderStandIn>(
-            base_.get(), timers_, localAddress(leader),
-            std::vector<peer::Address>(static_cast<std::size_t>(backends), localAddress(backend)),
-            std::move(requestRelays));
+        vm.leader = std::make_unique<LeaderStandIn>(base_.get(), timers_, localAddress(leader),
+                                                    std::move(servers), std::move(requestRelays));
         vm.clients = std::make_unique<peer::ClientPool>(base_.get(), timers_, credentials);
         vm.server = std::make_unique<peer::Server>(base_.get(), credentials);
         GatewayOptions options;
@@ -284,11 +285,17 @@
         return vm;
     }
 
-    // The VM of the caller, whose servers cannot be reached, and the one that it uses as a relay.
-    void startVms(Port backendOfRelay)
+    // Starts the VM of the caller, which reaches at most the first of its servers, and the one that
+    // it uses as a relay.
+    void startVms(Port backendOfRelay, Port firstServer = Dead)
     {
-        relay_ = startVm(LeaderB, CallersB, PeersB, RelayB, backendOfRelay, 4, {});
-        vm_ = startVm(LeaderA, CallersA, PeersA, RelayA, Dead, 4, { localAddress(RelayB) });
+        const auto repeat = [](Port port) {
+            return std::vector<peer::Address>(4, localAddress(port));
+        };
+        relay_ = startVm(LeaderB, CallersB, PeersB, RelayB, repeat(backendOfRelay), {});
+        std::vector<peer::Address> servers = repeat(Dead);
+        servers.front() = localAddress(firstServer);
+        vm_ = startVm(LeaderA, CallersA, PeersA, RelayA, servers, { localAddress(RelayB) });
         ASSERT_TRUE(runUntil([&] { return vm_.gateway->isReady() && relay_.gateway->isReady(); }));
     }
 
@@ -381,5 +388,38 @@
     EXPECT_EQ(runs_, 1);
 }
 
+struct SilentServerCase
+{
+    const char *name;
+    const char *path;
+    int runs;
+};
+
+class SilentServer : public RelayedRequests, public ::testing::WithParamInterface<SilentServerCase>
+{
+};
+
+// Guards against requests that run on more servers than their route allows, because the VM took its
+// links for lost while the first one was at work.
+TEST_P(SilentServer, GetsNoMoreAttemptsThanTheRouteAllows)
+{
+    startVms(Backend, Backend);
+    // Leaves an idle connection to the server, which says nothing about the links any more.
+    send("/write/0");
+    ASSERT_TRUE(runUntil([&] { return response_.complete; }));
+    backendResponds_ = false;
+    runs_ = 0;
+    send(GetParam().path);
+    ASSERT_TRUE(runUntil([&] { return response_.complete; }, Seconds(3)));
+    EXPECT_EQ(response_.head.status, 504);
+    EXPECT_EQ(runs_, GetParam().runs);
+}
+
+INSTANTIATE_TEST_SUITE_P(Routes, SilentServer,
+                         ::testing::Values(SilentServerCase { "idempotent", "/read/1", 2 },
+                                           SilentServerCase { "oneAttempt", "/read-once/1", 1 },
+                                           SilentServerCase { "notIdempotent", "/write/1", 1 }),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
 } // namespace daisyhaven::gateway
