A VM whose links are slow does not count as disconnected

Cause: connections of a check that did not open within 150 ms counted as lost links. Responses that arrive meanwhile show that the links work, though not that new connections are accepted. Change: time-outs count only if no response has arrived since the check began; refusals count as before. 250 ms, not 150. Test: reachability_test SlowLink/timeOutBesideResponses; it disconnected the VM before.

--- a/src/gateway/internal/reachability.h
+++ b/src/gateway/internal/reachability.h
@@ -3,7 +3,8 @@
 // A request that fails in the network does not show which of its two ends is at fault. After such a
 // failure the VM opens connections to other servers of the same service. One that succeeds shows
 // that the links work, so the failure is the server's. If none of them succeeds, this VM is
-// disconnected from the service until one of its further connection attempts succeeds.
+// disconnected from the service until one of its further connection attempts succeeds. Connections
+// that time out while responses still arrive only show that the links are slow.
 //
 // Example:
 //     reachability.recordFailure(now, { service, server, attemptStartedAt }, servers);
@@ -74,6 +75,9 @@
     bool reachable = true;
 };
 
+// Why a connection was not established.
+enum class ConnectionEnd : std::uint8_t { Refused, TimedOut };
+
 using ReachabilityAction = std::variant<OpenConnection, Verdict, ReachabilityChange>;
 
 class Reachability
@@ -94,7 +98,7 @@
     // Records that a connection to a server of `service` was established.
     void recordConnection(Instant now, const std::string &service);
     // Records that the connection that `request` asked for was not established.
-    void recordFailedConnection(const OpenConnection &request);
+    void recordFailedConnection(const OpenConnection &request, ConnectionEnd end);
     // Records that a server of `service` responded.
     void recordResponse(Instant now, const std::string &service);
     // Performs work that is due. Call about every 50 ms.
@@ -116,10 +120,13 @@
         std::uint64_t check = 0;
         // Connections of the current check whose outcome is not known.
         std::size_t pendingConnections = 0;
+        Instant checkStartedAt;
+        bool refused = false;
         Instant nextAttemptAt;
     };
 
-    void startCheck(const NetworkFailure &failure, const Servers &servers, ServiceState &service);
+    void startCheck(Instant now, const NetworkFailure &failure, const Servers &servers,
+                    ServiceState &service);
     // Returns up to `count` servers of the service, of different zones as far as possible.
     std::vector<const scheduler::KnownServer *> pickServers(const std::string &service,
                                                             const std::string &excluded,
--- a/src/gateway/internal/reachabilitymonitor.h
+++ b/src/gateway/internal/reachabilitymonitor.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,7 +45,7 @@
     void execute(const OpenConnection &request);
     void execute(const Verdict &verdict);
     void execute(const ReachabilityChange &change);
-    void finishConnection(std::uint64_t id, bool established);
+    void finishConnection(std::uint64_t id, std::optional<ConnectionEnd> failure);
 
     event_base *base_;
     TimerService &timers_;
--- a/src/gateway/reachability.cpp
+++ b/src/gateway/reachability.cpp
@@ -24,11 +24,11 @@
         actions_.emplace_back(Verdict { failure.service, FaultyEnd::Server });
         return;
     }
-    startCheck(failure, servers, service);
+    startCheck(now, failure, servers, service);
     service.nextAttemptAt = now + RetryInterval;
 }
 
-void Reachability::startCheck(const NetworkFailure &failure, const Servers &servers,
+void Reachability::startCheck(Instant now, const NetworkFailure &failure, const Servers &servers,
                               ServiceState &service)
 {
     const auto picked = pickServers(failure.service, failure.server, servers, ServersPerCheck);
@@ -38,6 +38,8 @@
     }
     service.state = State::Checking;
     ++service.check;
+    service.checkStartedAt = now;
+    service.refused = false;
     service.pendingConnections = picked.size();
     for (const scheduler::KnownServer *server : picked) {
         openConnection(*server, service.check);
@@ -95,7 +97,7 @@
     }
 }
 
-void Reachability::recordFailedConnection(const OpenConnection &request)
+void Reachability::recordFailedConnection(const OpenConnection &request, ConnectionEnd end)
 {
     const std::string &service = request.service;
     ServiceState &state = services_[service];
@@ -103,7 +105,15 @@
         return;
     }
     --state.pendingConnections;
-    if (state.pendingConnections == 0) {
+    state.refused = state.refused || end == ConnectionEnd::Refused;
+    if (state.pendingConnections > 0) {
+        return;
+    }
+    const bool linksAreSlow = !state.refused && state.respondedAt > state.checkStartedAt;
+    if (linksAreSlow) {
+        state.state = State::Reachable;
+        actions_.emplace_back(Verdict { service, FaultyEnd::Server });
+    } else {
         state.state = State::Disconnected;
         actions_.emplace_back(ReachabilityChange { service, false });
         actions_.emplace_back(Verdict { service, FaultyEnd::OwnLinks });
--- a/src/gateway/reachabilitymonitor.cpp
+++ b/src/gateway/reachabilitymonitor.cpp
@@ -10,8 +10,8 @@
 namespace {
 
 constexpr Milliseconds TickInterval { 50 };
-// Covers several round trips between availability zones.
-constexpr Milliseconds CheckTimeout { 150 };
+// Covers several round trips between availability zones on a busy link.
+constexpr Milliseconds CheckTimeout { 250 };
 // A connection of a check is kept for the next request for this long.
 constexpr Seconds CheckedConnectionLifetime { 3 };
 constexpr double LatencyWeight = 0.1;
@@ -101,14 +101,18 @@
     pending.connection = std::make_unique<http::ClientConnection>(
         base_, address == nullptr ? peer::Address {} : *address);
     http::ClientConnection::Callbacks callbacks;
-    callbacks.connected = [this, id] { finishConnection(id, true); };
-    callbacks.closed = [this, id] { finishConnection(id, false); };
+    callbacks.connected = [this, id] { finishConnection(id, std::nullopt); };
+    callbacks.closed = [this, id] { finishConnection(id, ConnectionEnd::Refused); };
     pending.connection->setCallbacks(std::move(callbacks));
-    const Duration timeout = pending.connection->isOpen() ? Duration(CheckTimeout) : Duration(0);
-    pending.timeout = timers_.runAfter(timeout, [this, id] { finishConnection(id, false); });
+    const bool isOpen = pending.connection->isOpen();
+    pending.timeout =
+        timers_.runAfter(isOpen ? Duration(CheckTimeout) : Duration(0), [this, id, isOpen] {
+            finishConnection(id, isOpen ? ConnectionEnd::TimedOut : ConnectionEnd::Refused);
+        });
 }
 
-void ReachabilityMonitor::finishConnection(std::uint64_t id, bool established)
+// `failure`: why the connection was not established, if it was not.
+void ReachabilityMonitor::finishConnection(std::uint64_t id, std::optional<ConnectionEnd> failure)
 {
     auto node = connections_.extract(id);
     if (node.empty()) {
@@ -116,7 +120,7 @@
     }
     PendingConnection &pending = node.mapped();
     const Instant now = timers_.now();
-    if (established) {
+    if (!failure) {
         pool_.release(pending.request.server, std::move(pending.connection),
                       CheckedConnectionLifetime);
         reachability_.recordConnection(now, pending.request.service);
@@ -124,7 +128,7 @@
         // Destroys the connection outside its own callbacks.
         timers_.post([connection = std::shared_ptr<http::ClientConnection>(
                           std::move(pending.connection))] {});
-        reachability_.recordFailedConnection(pending.request);
+        reachability_.recordFailedConnection(pending.request, *failure);
     }
     executeActions();
 }
