--- a/src/gateway/reachability_test.cpp
+++ b/src/gateway/reachability_test.cpp
@@ -242,7 +242,7 @@
 constexpr double RequestsPerSecond = 180;
 constexpr Milliseconds Step { 5 };
 constexpr double MeanServiceMs = 160;
-constexpr Milliseconds SilenceThreshold { 260 };
+constexpr Milliseconds SilenceThreshold { 400 };
 
 // VMs that send requests through one scheduler. From CutAt on some of them reach no server; they
 // report what the gateway reports for them.
--- a/src/gateway/reachabilitymonitor.cpp
+++ b/src/gateway/reachabilitymonitor.cpp
@@ -15,7 +15,7 @@
 // A connection of a check is kept for the next request for this long.
 constexpr Seconds CheckedConnectionLifetime { 3 };
 constexpr double LatencyWeight = 0.1;
-constexpr double SuspiciousLatencyRatio = 1.6;
+constexpr double SuspiciousLatencyRatio = 2.5;
 constexpr Milliseconds MinSuspiciousSilence { 150 };
 constexpr Milliseconds MaxSuspiciousSilence { 1000 };
 constexpr Milliseconds InitialSuspiciousSilence { 400 };
