A large entry in flight is not sent again with each reply to a smaller message

Traced with logs: the leader's heap grew from below 64 to 133, 202 and 245 MB within 0.4 s, with 3.6 MB of log, 5.8 MB of documents and 2 kB unsent; it was silent for 0.4 s and lost its lease. One document of 0.9 MB was on its way and many servers left at once. Cause: each small change sends an empty append while entries are on the way, and its reply was taken for the answer to them: the leader sent the whole document to that follower again. N changes cost N times the document for each follower. The class: a reply is not matched to the message it answers.

--- a/src/consensus/consensus.h
+++ b/src/consensus/consensus.h
@@ -226,7 +226,9 @@
         std::uint64_t matchIndex = 0;
         Instant lastContactAt;
         Instant lastSentAt;
+        // Entries or a snapshot up to `awaitedIndex` are on the way.
         bool awaitingReply = false;
+        std::uint64_t awaitedIndex = 0;
     };
 
     void becomeFollower(Instant now, std::uint64_t term, const std::string &leader);
--- a/src/consensus/consensus_test.cpp
+++ b/src/consensus/consensus_test.cpp
@@ -6,6 +6,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <map>
 #include <memory>
 
 namespace daisyhaven::consensus {
@@ -310,5 +311,111 @@
     EXPECT_TRUE(passed);
 }
 
+// ---- a large entry in flight ----
+
+// Three replicas whose messages arrive at once, but for those with a large entry.
+class SlowLargeEntries : public ::testing::Test
+{
+protected:
+    static constexpr std::size_t LargeBytes = 1024UL * 1024;
+
+    SlowLargeEntries()
+    {
+        StoredState stored;
+        for (int i = 0; i < NodeCount; ++i) {
+            stored.snapshot.members.push_back(
+                { "vm" + std::to_string(i), replicaIdOf(i, 0), std::to_string(i) });
+        }
+        for (int i = 0; i < NodeCount; ++i) {
+            const auto &self = stored.snapshot.members[static_cast<std::size_t>(i)];
+            replicas_[self.replicaId] = std::make_unique<Replica>(
+                self, stored, Timings {}, static_cast<std::uint64_t>(i + 1), now_);
+        }
+    }
+
+    // Delivers messages until there are none.
+    void exchange()
+    {
+        bool delivered = true;
+        while (delivered) {
+            delivered = false;
+            for (auto &[id, replica] : replicas_) {
+                for (const Action &action : replica->takeActions()) {
+                    if (std::holds_alternative<BecameLeader>(action)) {
+                        leader_ = replica.get();
+                    }
+                    const auto *send = std::get_if<SendMessage>(&action);
+                    delivered = deliver(send) || delivered;
+                }
+            }
+        }
+    }
+
+    bool deliver(const SendMessage *send)
+    {
+        if (send == nullptr) {
+            return false;
+        }
+        for (const Entry &entry : send->message.entries) {
+            if (entry.payload.size() >= LargeBytes) {
+                ++largeEntriesSent_;
+                return false;
+            }
+        }
+        replicas_.at(send->message.to)->handleMessage(now_, send->message);
+        return true;
+    }
+
+    void advance(Duration duration)
+    {
+        now_ += duration;
+        for (auto &[id, replica] : replicas_) {
+            replica->tick(now_);
+        }
+        exchange();
+    }
+
+    void propose(std::size_t bytes)
+    {
+        const auto proposed =
+            attempt([&] { return leader_->propose(now_, std::string(bytes, 'x')); });
+        ASSERT_TRUE(std::holds_alternative<std::uint64_t>(proposed));
+        exchange();
+    }
+
+    Instant now_ { Seconds(1000) };
+    std::map<std::string, std::unique_ptr<Replica>> replicas_;
+    Replica *leader_ = nullptr;
+    int largeEntriesSent_ = 0;
+};
+
+// Guards against a leader that sends a large entry again with each small change that follows it,
+// and runs out of memory when many servers leave at once.
+TEST_F(SlowLargeEntries, AreSentOnceWhileSmallOnesFollow)
+{
+    while (leader_ == nullptr) {
+        advance(Milliseconds(10));
+    }
+    propose(LargeBytes);
+    for (int i = 0; i < 100; ++i) {
+        advance(Milliseconds(1));
+        propose(10);
+    }
+    EXPECT_EQ(largeEntriesSent_, NodeCount - 1);
+}
+
+TEST_F(SlowLargeEntries, AreSentAgainIfTheyAreLost)
+{
+    while (leader_ == nullptr) {
+        advance(Milliseconds(10));
+    }
+    propose(LargeBytes);
+    for (int i = 0; i < 100; ++i) {
+        advance(Milliseconds(10));
+    }
+    EXPECT_GE(largeEntriesSent_, 3 * (NodeCount - 1));
+    EXPECT_LE(largeEntriesSent_, 5 * (NodeCount - 1));
+}
+
 } // namespace
 } // namespace daisyhaven::consensus
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -402,6 +402,8 @@
     }
     if (!message.entries.empty() || message.snapshot) {
         progress.awaitingReply = true;
+        progress.awaitedIndex =
+            message.snapshot ? message.snapshot->index : message.entries.back().index;
         progress.lastSentAt = now;
     }
     send(std::move(message), member.peerAddress);
@@ -558,7 +560,10 @@
     Progress &progress = found->second;
     const Instant requestSentAt { Duration(static_cast<Duration::rep>(message.sequence)) };
     progress.lastContactAt = std::max(progress.lastContactAt, std::min(requestSentAt, now));
-    progress.awaitingReply = false;
+    // The reply to a message without entries may arrive while larger entries are still on the way.
+    if (!message.granted || message.logIndex >= progress.awaitedIndex) {
+        progress.awaitingReply = false;
+    }
     if (message.granted) {
         progress.matchIndex = std::max(progress.matchIndex, message.logIndex);
         progress.nextIndex = std::max(progress.nextIndex, progress.matchIndex + 1);
@@ -568,7 +573,7 @@
         progress.nextIndex =
             std::max(progress.matchIndex, std::min(message.logIndex, lastIndex())) + 1;
     }
-    const bool hasMoreEntries = progress.nextIndex <= lastIndex();
+    const bool hasMoreEntries = !progress.awaitingReply && progress.nextIndex <= lastIndex();
     const std::string address = addressOf(message.from);
     if (hasMoreEntries && !address.empty()) {
         sendAppend(now, { "", message.from, address });
