The replicated log is compacted by bytes too

Found while the memory of control VMs was traced, not its cause there: the log kept 256 changes whatever their size, 40 versions of 1 MB as 42 MB on every replica. Test: coordination_test LogOfLargeDocumentsIsBoundedByBytes, 41.9 MB before (bound 12.6).

--- a/src/coordination/coordination_test.cpp
+++ b/src/coordination/coordination_test.cpp
@@ -384,6 +384,24 @@
     EXPECT_EQ(read(), "seven");
 }
 
+// Guards against control VMs that run out of memory while large documents change in series: the log
+// kept every version of the last 256 changes.
+TEST_F(ControlTaskTest, LogOfLargeDocumentsIsBoundedByBytes)
+{
+    constexpr std::size_t DocumentBytes = 1024UL * 1024;
+    constexpr int Versions = 40;
+    startAll();
+    double largestLog = 0;
+    for (int version = 1; version <= Versions; ++version) {
+        ASSERT_TRUE(put(static_cast<std::uint64_t>(version),
+                        std::string(DocumentBytes, static_cast<char>('a' + version % 26))));
+        for (const auto &replica : replicas_) {
+            largestLog = std::max(largestLog, replica->task->metrics().at("daisyhaven_log_bytes"));
+        }
+    }
+    EXPECT_LT(largestLog, 12.0 * DocumentBytes);
+}
+
 TEST_F(ControlTaskTest, ReplicaThatLostItsDiskRejoinsTheGroup)
 {
     startAll();
--- a/src/replication/runner.cpp
+++ b/src/replication/runner.cpp
@@ -10,7 +10,9 @@
 
 constexpr Milliseconds TickPeriod { 20 };
 constexpr Milliseconds MessageTimeout { 1000 };
+// The log is replaced by a snapshot once it holds so many applied entries, or so many bytes.
 constexpr std::uint64_t SnapshotAfterEntries = 256;
+constexpr std::size_t SnapshotAfterBytes = 8UL * 1024 * 1024;
 // Delay between attempts to write to a full disk.
 constexpr Milliseconds StorageRetryPeriod { 200 };
 
@@ -213,7 +215,9 @@
 
 void ReplicaRunner::compactLogIfDue()
 {
-    const bool isDue = appliedIndex_ >= replica_.firstIndex() + SnapshotAfterEntries;
+    const bool isLong = appliedIndex_ >= replica_.firstIndex() + SnapshotAfterEntries;
+    const bool isLarge = replica_.logBytes() >= SnapshotAfterBytes;
+    const bool isDue = isLong || (isLarge && appliedIndex_ >= replica_.firstIndex());
     if (!isDue || isStopped_) {
         return;
     }
