A request whose body is gone is not handed to a second relay

A relay that refused after a large body had begun to stream was followed by the next one, which got the rest of the body only: in the new test the server ran 108,668 of 1,048,576 bytes and the caller got 200. Cause: the path after a refusal did not ask mayRetry(), as every other path does. Now it does; what cannot be sent whole is refused as not run. Test: requestrelays_test RelayedRequests/AreNotSentAgainWithoutTheBeginOfTheirBody, failed before as said.

--- a/src/gateway/exchangerelay.cpp
+++ b/src/gateway/exchangerelay.cpp
@@ -132,7 +132,11 @@
 {
     if (head.headers.find(RelayRefusedHeader) != nullptr) {
         endCall(RequestRelays::Outcome::Refused);
-        requestSlot(sentAttempts_ > 0);
+        if (mayRetry(false)) {
+            requestSlot(sentAttempts_ > 0);
+        } else {
+            respondWithFailure(ResultCode::BackendShed, "the relay refused the request");
+        }
         return;
     }
     endCall(RequestRelays::Outcome::Responded);
--- a/src/gateway/requestrelays_test.cpp
+++ b/src/gateway/requestrelays_test.cpp
@@ -97,6 +97,7 @@
 // ---- two gateways in one process, over loopback ----
 
 constexpr const char *RequestId = "request-1";
+constexpr std::size_t MaxBodyBytes = 2UL * 1024 * 1024;
 constexpr std::uint16_t FirstPort = 28700;
 
 peer::Address localAddress(int offset)
@@ -138,10 +139,14 @@
 {
 public:
     LeaderStandIn(event_base *base, TimerService &timers, const peer::Address &address,
-                  std::vector<peer::Address> servers, std::vector<peer::Address> requestRelays)
-        : timers_(timers), servers_(std::move(servers)), relays_(std::move(requestRelays)),
+                  std::vector<peer::Address> servers,
+                  const std::vector<peer::Address> &requestRelays)
+        : timers_(timers), servers_(std::move(servers)),
           server_(base, { peer::Role::Vm, "test", "", "", peer::Protection::None })
     {
+        for (const peer::Address &relay : requestRelays) {
+            addRequestRelay(relay, "a");
+        }
         server_.registerTypedHandler<wire::FleetViewRequest, wire::FleetViewReply>(
             peer::Method::FleetView, peer::Role::Vm,
             [this](const peer::Caller &, const wire::FleetViewRequest &, auto respond) {
@@ -170,6 +175,11 @@
         EXPECT_TRUE(std::holds_alternative<bool>(listening));
     }
 
+    void addRequestRelay(const peer::Address &address, const std::string &zone)
+    {
+        relays_.push_back({ address.toString(), zone });
+    }
+
 private:
     wire::FleetViewReply makeView() const
     {
@@ -188,15 +198,17 @@
             server->set_address(servers_[i].toString());
             server->set_slots(4);
         }
-        for (const peer::Address &relay : relays_) {
-            reply.add_request_relays()->set_address(relay.toString());
+        for (const coordination::RequestRelay &relay : relays_) {
+            wire::RequestRelay *named = reply.add_request_relays();
+            named->set_address(relay.address);
+            named->set_availability_zone(relay.zone);
         }
         return reply;
     }
 
     TimerService &timers_;
     std::vector<peer::Address> servers_;
-    std::vector<peer::Address> relays_;
+    std::vector<coordination::RequestRelay> relays_;
     peer::Server server_;
     std::vector<TimerHandle> delays_;
     std::uint64_t granted_ = 0;
@@ -215,7 +227,11 @@
         RelayA,
         RelayB,
         Backend,
-        Dead
+        Dead,
+        LeaderC,
+        CallersC,
+        PeersC,
+        RelayC
     };
 
     RelayedRequests() : base_(event_base_new()), timers_(base_.get())
@@ -223,10 +239,11 @@
         const auto opened = attempt([&]() -> Result<bool> {
             BOOST_LEAF_ASSIGN(
                 backend_,
-                http::ApiServer::open(base_.get(), timers_, localAddress(Backend), 1024,
-                                      [this](const http::ApiRequest &,
+                http::ApiServer::open(base_.get(), timers_, localAddress(Backend), MaxBodyBytes,
+                                      [this](const http::ApiRequest &request,
                                              const http::ApiServer::ResponseCallback &respond) {
                                           ++runs_;
+                                          receivedBytes_ = request.body.size();
                                           if (backendResponds_) {
                                               respond(makeBackendResponse());
                                           } else {
@@ -256,13 +273,13 @@
     // Starts a VM whose leader names these servers and request relays, and grants slots of the
     // first server.
     Vm startVm(Port leader, Port callers, Port peers, Port relay,
-               std::vector<peer::Address> servers, std::vector<peer::Address> requestRelays)
+               std::vector<peer::Address> servers, const std::vector<peer::Address> &requestRelays)
     {
         const peer::Credentials credentials { peer::Role::Vm, "test", "", "",
                                               peer::Protection::None };
         Vm vm;
         vm.leader = std::make_unique<LeaderStandIn>(base_.get(), timers_, localAddress(leader),
-                                                    std::move(servers), std::move(requestRelays));
+                                                    std::move(servers), requestRelays);
         vm.clients = std::make_unique<peer::ClientPool>(base_.get(), timers_, credentials);
         vm.server = std::make_unique<peer::Server>(base_.get(), credentials);
         GatewayOptions options;
@@ -317,7 +334,7 @@
     };
 
     // Sends a request to the VM that reaches no server; `response_` receives its response.
-    void send(const std::string &path)
+    void send(const std::string &path, const std::string &body = "body")
     {
         response_ = {};
         caller_ = std::make_unique<http::ClientConnection>(base_.get(), localAddress(CallersA));
@@ -332,8 +349,8 @@
         headers.add("Host", "shop.example");
         headers.add("request-id", RequestId);
         headers.add("deadline-ms", "1500");
-        caller_->sendHead("POST", path, headers, http::Framing::Length, 4);
-        caller_->sendBody("body");
+        caller_->sendHead("POST", path, headers, http::Framing::Chunked, 0);
+        caller_->sendBody(body);
         caller_->endRequest();
     }
 
@@ -344,6 +361,7 @@
     std::vector<http::ApiServer::ResponseCallback> unanswered_;
     bool backendResponds_ = true;
     int runs_ = 0;
+    std::size_t receivedBytes_ = 0;
     Vm relay_;
     Vm vm_;
     std::unique_ptr<http::ClientConnection> caller_;
@@ -388,6 +406,26 @@
     EXPECT_EQ(runs_, 1);
 }
 
+// Guards against a body of which only the rest is sent on, after a relay refused it in the middle.
+TEST_F(RelayedRequests, AreNotSentAgainWithoutTheBeginOfTheirBody)
+{
+    const std::string body(MaxBodyBytes / 2, 'x');
+    startVms(Dead);
+    const Vm other = startVm(LeaderC, CallersC, PeersC, RelayC, { localAddress(Backend) }, {});
+    ASSERT_TRUE(runUntil([&] { return other.gateway->isReady(); }));
+    vm_.leader->addRequestRelay(localAddress(RelayC), "other zone");
+    runUntil([] { return false; }, Milliseconds(100));
+    // Shows the VM that it is disconnected; the relay that refused is then used again.
+    send("/write/0");
+    ASSERT_TRUE(runUntil([&] { return response_.complete; }));
+    runUntil([] { return false; }, Milliseconds(600));
+    runs_ = 0;
+    send("/write/1", body);
+    ASSERT_TRUE(runUntil([&] { return response_.complete; }, Seconds(3)));
+    EXPECT_TRUE(runs_ == 0 || receivedBytes_ == body.size()) << receivedBytes_;
+    EXPECT_EQ(response_.head.status, runs_ == 0 ? 503 : 200);
+}
+
 struct SilentServerCase
 {
     const char *name;
