Scheduler: one file for each job; who decides what under load

Moved without a change of logic; the values that parts share stand in internal/thresholds.h. docs/design/load-decisions.md names who decides, where the state lives and the protocol fields of each part.

--- /dev/null
+++ b/src/scheduler/serverselection.cpp
@@ -0,0 +1,220 @@
+// Scheduler: which server receives a request.
+#include "scheduler/scheduler.h"
+
+#include "scheduler/internal/state.h"
+#include "scheduler/internal/thresholds.h"
+
+#include <algorithm>
+
+namespace daisyhaven::scheduler {
+
+using internal::ServerState;
+using internal::ServiceState;
+
+using internal::InitialProbeInterval;
+using internal::SuspicionThreshold;
+using internal::TrustThreshold;
+
+namespace {
+
+constexpr double RelaxedThreshold = 0.8;
+constexpr double FailureCostWeight = 2.0;
+// The high weight sends requests that are not idempotent to servers with a recent success rather
+// than to the least loaded ones.
+constexpr double NonIdempotentFailureCostWeight = 40.0;
+constexpr double OtherZoneCost = 0.3;
+constexpr double OtherZoneCostForLargeBody = 1.0;
+constexpr double NewConnectionCost = 0.45;
+// Higher than for idempotent requests, because the differences in failure cost are higher too.
+constexpr double NonIdempotentNewConnectionCost = 1.0;
+// Idempotent requests prefer servers without a recent request, up to one second: they reveal a
+// failure that a non-idempotent request would otherwise meet first.
+constexpr double ExplorationBonusPerSecond = 0.5;
+constexpr double MaxExplorationSeconds = 1;
+constexpr double SlownessCostWeight = 0.25;
+// A healthy server without a request for this long is preferred to all others, since only results
+// reveal its health. Idempotent requests reach it first because they can be retried.
+constexpr Milliseconds IdleThreshold { 900 };
+constexpr Milliseconds NonIdempotentIdleThreshold { 1500 };
+constexpr double IdleServerBonus = 10;
+constexpr double CostJitter = 0.05;
+constexpr double MaxSlowness = 3;
+constexpr double MinSlowness = 0.5;
+
+constexpr Milliseconds MaxProbeInterval { 3000 };
+// Interval between probes with requests that are not idempotent.
+constexpr Milliseconds NonIdempotentProbeInterval { 6000 };
+// A service without idempotent requests for this long is probed with other requests.
+constexpr Seconds IdempotentTrafficWindow { 3 };
+constexpr Milliseconds LongWaitProbeInterval { 600 };
+// A probe requires at least this much time before the deadline, so that the request can be retried
+// on another server.
+constexpr Milliseconds ProbeRetryReserve { 600 };
+constexpr double ShedCostWeight = 1.0;
+// A slot whose VM sends no release expires this long after the request's deadline.
+constexpr Milliseconds SlotExpiryGrace { 500 };
+
+// A server with this failure probability or a higher one gets the request only as a probe.
+double maxFailureProbability(const SlotRequest &request)
+{
+    return request.idempotent ? SuspicionThreshold : TrustThreshold;
+}
+
+// The same limit for a request that has waited for a slot.
+double maxFailureProbabilityAfterWait(const SlotRequest &request)
+{
+    return request.idempotent ? RelaxedThreshold : SuspicionThreshold;
+}
+
+} // namespace
+
+bool Scheduler::isInService(const ServerState &server) const
+{
+    return !server.info.draining && !server.leaving && !server.addressReassigned
+        && evacuatedZones_.count(server.info.zone) == 0;
+}
+
+bool Scheduler::hasCapacity(Instant now, ServerState &server) const
+{
+    if (server.inFlightCount() >= server.info.slots || now < server.shedBackoffUntil) {
+        return false;
+    }
+    if (!server.requestLimit.allowsRequest(now)) {
+        return false;
+    }
+    return !server.isWarmingUp(now) || server.coldStartLimiter.refillAndCheck(1, now);
+}
+
+bool Scheduler::isEligible(Instant now, const ServiceState &service, ServerState &server,
+                           const SlotRequest &request, bool hasWaitedLong) const
+{
+    const bool excluded = server.excludedInSelection == lastSelection_;
+    if (excluded || !hasCapacity(now, server) || !isInService(server)) {
+        return false;
+    }
+    const double limit =
+        hasWaitedLong ? maxFailureProbabilityAfterWait(request) : maxFailureProbability(request);
+    return server.health.failureProbability(now)
+        < (service.usesSuspectedServers ? RelaxedThreshold : limit);
+}
+
+double Scheduler::selectionCost(Instant now, const ServerState &server,
+                                const SlotRequest &request) const
+{
+    // Includes half of the load that the request itself adds.
+    double cost = (server.inFlightCount() + 0.5) / std::max<std::uint32_t>(server.info.slots, 1);
+    cost += (request.idempotent ? FailureCostWeight : NonIdempotentFailureCostWeight)
+        * server.health.failureProbability(now);
+    const double slowness = std::clamp(server.health.slowness(), MinSlowness, MaxSlowness);
+    cost += SlownessCostWeight * (slowness - 1);
+    cost += ShedCostWeight * server.health.shedShare();
+    if (server.info.zone != request.zone) {
+        cost += request.largeBody ? OtherZoneCostForLargeBody : OtherZoneCost;
+    }
+    if (server.connectedInSelection != lastSelection_) {
+        cost += request.idempotent ? NewConnectionCost : NonIdempotentNewConnectionCost;
+    }
+    const Duration idleTime = now - server.lastGrantAt;
+    if (request.idempotent) {
+        const double idleSeconds = std::chrono::duration<double>(idleTime).count();
+        cost -= ExplorationBonusPerSecond * std::min(idleSeconds, MaxExplorationSeconds);
+    }
+    if (idleTime > (request.idempotent ? IdleThreshold : NonIdempotentIdleThreshold)) {
+        cost -= IdleServerBonus;
+    }
+    return cost;
+}
+
+bool Scheduler::isDueForProbe(Instant now, ServiceState &service, ServerState &server,
+                              const SlotRequest &request, bool hasWaitedLong) const
+{
+    // Probes use requests that can be retried on another server if the probe fails.
+    const bool serviceHasIdempotent = now - service.lastIdempotentAt < IdempotentTrafficWindow;
+    const bool suitsProbe = request.idempotent || !serviceHasIdempotent;
+    const bool mayProbe =
+        suitsProbe && !request.isRetry && request.deadline - now > ProbeRetryReserve;
+    const Instant due = hasWaitedLong
+        ? std::min(server.nextProbeAt, server.lastProbeAt + LongWaitProbeInterval)
+        : server.nextProbeAt;
+    return mayProbe && server.inFlightCount() == 0 && now >= due
+        && server.health.failureProbability(now) >= maxFailureProbability(request)
+        && isInService(server) && hasCapacity(now, server)
+        && server.excludedInSelection != lastSelection_;
+}
+
+void Scheduler::markNamedServers(const SlotRequest &request)
+{
+    ++lastSelection_;
+    for (const std::string &id : request.excludedServers) {
+        const auto server = servers_.find(id);
+        if (server != servers_.end()) {
+            server->second->excludedInSelection = lastSelection_;
+        }
+    }
+    for (const std::string &id : request.connectedServers) {
+        const auto server = servers_.find(id);
+        if (server != servers_.end()) {
+            server->second->connectedInSelection = lastSelection_;
+        }
+    }
+}
+
+ServerState *Scheduler::pickServer(Instant now, ServiceState &service, const SlotRequest &request,
+                                   bool hasWaitedLong)
+{
+    // A failed probe with an idempotent request costs a retry.
+    const bool probesAllowed =
+        !request.idempotent || !service.retryBudget.isNearlySpent(now, limits_);
+    std::uniform_real_distribution<double> jitter(0, CostJitter);
+    markNamedServers(request);
+    ServerState *best = nullptr;
+    double bestCost = 0;
+    for (auto &[id, server] : service.servers) {
+        if (probesAllowed && isDueForProbe(now, service, *server, request, hasWaitedLong)) {
+            server->lastProbeAt = now;
+            server->probeInterval = std::min<Duration>(
+                std::max<Duration>(server->probeInterval * 2, InitialProbeInterval),
+                MaxProbeInterval);
+            server->nextProbeAt = now
+                + (request.idempotent ? server->probeInterval
+                                      : Duration(NonIdempotentProbeInterval));
+            return server.get();
+        }
+        if (!isEligible(now, service, *server, request, hasWaitedLong)) {
+            continue;
+        }
+        const double serverCost = selectionCost(now, *server, request) + jitter(random_);
+        if (best == nullptr || serverCost < bestCost) {
+            best = server.get();
+            bestCost = serverCost;
+        }
+    }
+    return best;
+}
+
+void Scheduler::grantSlot(Instant now, ServerState &server, const SlotRequest &request)
+{
+    if (server.isWarmingUp(now)) {
+        server.coldStartLimiter.tryTake(1, now);
+    }
+    server.requestLimit.takeRequest(now);
+    ++server.grantedSlots;
+    server.lastGrantAt = now;
+    const std::uint64_t slotId = ++lastSlotId_;
+    GrantedSlot grantedSlot;
+    grantedSlot.service = request.service;
+    grantedSlot.serverId = server.info.id;
+    grantedSlot.vm = request.key.vm;
+    grantedSlot.route = request.route;
+    grantedSlot.team = request.team;
+    grantedSlot.fingerprint = request.fingerprint;
+    grantedSlot.key = request.key;
+    grantedSlot.grantedAt = now;
+    grantedSlot.expiresAt = request.deadline + SlotExpiryGrace;
+    grantedSlots_[slotId] = std::move(grantedSlot);
+    slotIdsByKey_[request.key] = slotId;
+    actions_.emplace_back(Grant { request.key, slotId, server.info.id, server.info.address,
+                                  server.info.startTimeMs });
+}
+
+} // namespace daisyhaven::scheduler
