--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -218,6 +218,26 @@
         || data.find("\n\n") != std::string_view::npos;
 }
 
+// Returns whether a response head starts with a status line of HTTP/1.x whose status belongs to one
+// of the five classes. libevhtp's parser also accepts other versions, statuses and separators.
+static bool hasValidStatusLine(std::string_view head)
+{
+    constexpr std::string_view Version = "HTTP/1.";
+    constexpr std::size_t MinorVersionAt = Version.size();
+    constexpr std::size_t StatusAt = MinorVersionAt + 2;
+    constexpr std::size_t StatusEnd = StatusAt + 3;
+    const auto isDigit = [](char c) { return c >= '0' && c <= '9'; };
+    const bool hasVersion = head.size() > StatusEnd && head.substr(0, Version.size()) == Version
+        && isDigit(head[MinorVersionAt]) && head[StatusAt - 1] == ' ';
+    if (!hasVersion) {
+        return false;
+    }
+    const bool isStatus = head[StatusAt] >= '1' && head[StatusAt] <= '5'
+        && isDigit(head[StatusAt + 1]) && isDigit(head[StatusAt + 2]);
+    return isStatus
+        && (head[StatusEnd] == ' ' || head[StatusEnd] == '\r' || head[StatusEnd] == '\n');
+}
+
 std::size_t MessageParser::feed(const char *data, std::size_t length)
 {
     static htparse_hooks parserCallbacks = makeParserCallbacks();
@@ -229,6 +249,11 @@
         state_ = length > MaxHeadBytes ? ParseState::HeadTooLarge : ParseState::NeedsInput;
         return 0;
     }
+    const bool isResponseHead = type_ == htp_type_response && !headParsed_;
+    if (isResponseHead && !hasValidStatusLine({ data, length })) {
+        state_ = ParseState::Malformed;
+        return 0;
+    }
     const bool headWasParsed = headParsed_;
     std::size_t consumed =
         inTrailers_ ? 0 : htparser_run(parser_.get(), &parserCallbacks, data, length);
