Scheduler: fair shares among teams that wait for a slot

Callers saw: where slots are short, all requests of a priority wait in order of arrival, so the team that sends most gets most and everybody's wait grows with its queue. Cause: WaitingQueue knew priorities and arrival only. Change: within a priority, teams take turns by start-time fair queueing over expected slot time, weighted by rate limit; requests that can still meet their target first, earliest limit first in a team. Admission predicts the wait of this team's request; a request whose target would be missed waits only if newer arrivals leave slots; a newcomer within its share displaces the last request of the heaviest team, at once and with the predicted wait. Waiting requests are bounded per service. Capacity counts each server's observed slowness.

--- a/src/scheduler/internal/eventrate.h
+++ b/src/scheduler/internal/eventrate.h
@@ -11,14 +11,22 @@
 class EventRate
 {
 public:
-    void record(Instant now)
+    // Records `amount` events, or an amount of another unit.
+    void record(Instant now, double amount = 1)
     {
-        count_ = decayedCount(now) + 1;
+        count_ = decayedCount(now) + amount;
         updatedAt_ = now;
     }
 
     double perSecond(Instant now) const { return decayedCount(now) / DecaySeconds; }
 
+    // The rate if nothing was recorded before `since`.
+    double perSecondSince(Instant now, Instant since) const
+    {
+        const double seconds = std::chrono::duration<double>(now - since).count();
+        return seconds <= 0 ? 0 : perSecond(now) / (1 - std::exp(-seconds / DecaySeconds));
+    }
+
 private:
     static constexpr double DecaySeconds = 2.5;
 
--- a/src/scheduler/internal/state.h
+++ b/src/scheduler/internal/state.h
@@ -135,7 +135,8 @@
 
     // Updated by the last call of updateServerCounts().
     std::uint32_t usableSlots = 0;
-    double requestsPerSecondCapacity = 0;
+    // Slots of servers of typical speed that would serve as much as the usable ones.
+    double typicalSlots = 0;
     std::uint32_t serversInService = 0;
     // Too few servers are trusted, so the least suspected of the others are used as well.
     bool usesSuspectedServers = false;
--- a/src/scheduler/internal/teamrates.h
+++ b/src/scheduler/internal/teamrates.h
@@ -22,6 +22,7 @@
     {
         std::map<std::string, TokenBucket> kept;
         std::map<std::string, TeamLimit> limits;
+        double totalRate = 0;
         for (const routing::Team &team : table.teams()) {
             if (team.requestsPerSecond <= 0) {
                 continue;
@@ -38,7 +39,9 @@
                 kept[team.name] = TokenBucket(rate, burst, level, now);
             }
             limits[team.name] = { team.requestsPerSecond, team.burst };
+            totalRate += team.requestsPerSecond;
         }
+        averageRate_ = limits.empty() ? 1 : totalRate / static_cast<double>(limits.size());
         buckets_ = std::move(kept);
         teamLimits_ = std::move(limits);
     }
@@ -86,6 +89,14 @@
         }
     }
 
+    // Share of the team where room is short, relative to other teams: its rate. A team without a
+    // limit counts as an average team with one.
+    double weight(const std::string &team) const
+    {
+        const auto limit = teamLimits_.find(team);
+        return limit == teamLimits_.end() ? averageRate_ : limit->second.requestsPerSecond;
+    }
+
     std::set<std::string> busyTeams(Instant now) const
     {
         std::set<std::string> busy;
@@ -129,6 +140,7 @@
     std::map<std::string, TokenBucket> buckets_;
     std::map<std::string, TeamLimit> teamLimits_;
     std::map<std::string, EventRate> requestRates_;
+    double averageRate_ = 1;
     double shareReservedForOthers_ = 0;
 };
 
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -9,6 +9,7 @@
 
 using internal::ServerState;
 using internal::ServiceState;
+using internal::toDuration;
 
 namespace {
 
@@ -196,7 +197,7 @@
             return;
         }
     }
-    service.requestRates.record(now, request.priority);
+    service.requestRates.record(now, request.priority, toDuration(typicalLatency(request.route)));
     if (!tryGrant(now, service, request, false)) {
         enqueueOrReject(now, service, std::move(request));
     }
@@ -279,4 +280,15 @@
     return count;
 }
 
+double Scheduler::largestWaitingShare() const
+{
+    double largest = 0;
+    for (const auto &[name, service] : services_) {
+        const internal::WaitingQueue &queue = service->waitingQueue;
+        const auto size = static_cast<double>(std::max<std::size_t>(queue.size(), 1));
+        largest = std::max(largest, static_cast<double>(queue.heaviestTeamSize()) / size);
+    }
+    return largest;
+}
+
 } // namespace daisyhaven::scheduler
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -4,8 +4,9 @@
 // VMs passes through it, so slots, cold-start limits, team rates and retry budgets hold exactly
 // over all VMs, and a failing backend server is avoided for all VMs as soon as one of them reports
 // it. Requests that find no slot wait in order of priority; within a priority, those that can still
-// meet their target time come first. A request that cannot be served before its deadline is
-// rejected at once.
+// meet their target time come first, and teams get shares by weighted fair queueing. A request that
+// cannot be served before its deadline is rejected at once; those of the team that is furthest
+// beyond its share are rejected first.
 //
 // An entry VM without a leader uses LocalLoadBalancer, which selects servers from the VM's own view
 // and keeps to this VM's shares of the limits.
@@ -199,6 +200,8 @@
     double rateOvershoot = 0;
     double rateSlack = 0;
     Duration rateWindow = Seconds(5);
+    // Requests of a service that may wait for a slot at a time.
+    std::size_t maxWaitingRequests = 10'000;
 };
 
 // Tokens that a team's rate limit starts with.
@@ -214,6 +217,8 @@
 namespace internal {
 struct ServiceState;
 struct ServerState;
+struct ExpectedWait;
+struct WaitingRequest;
 class TeamRateLimiter;
 class CrashRecords;
 } // namespace internal
@@ -269,6 +274,10 @@
     // For tests and metrics.
     std::uint32_t inFlightCount(const std::string &server) const;
     std::size_t queuedRequestCount() const;
+    // Largest part of the requests that wait for one service that belongs to one team.
+    double largestWaitingShare() const;
+    // Number of waiting requests that were rejected because others had a better claim.
+    std::uint64_t displacedRequestCount() const { return displacedRequestCount_; }
     std::size_t grantedSlotCount() const { return grantedSlots_.size(); }
 
 private:
@@ -321,8 +330,14 @@
     double typicalLatency(const std::string &route) const;
     void updateSuspicion(Instant now, internal::ServerState &server, const std::string &cause);
     Instant latestStartTime(const SlotRequest &request) const;
-    Duration expectedWait(Instant now, const internal::ServiceState &service,
-                          std::uint32_t priority) const;
+    double slotsLeftFor(Instant now, const internal::ServiceState &service,
+                        std::uint32_t priority) const;
+    internal::ExpectedWait expectedWait(Instant now, const internal::ServiceState &service,
+                                        std::uint32_t priority, Duration slotTimeAhead) const;
+    internal::ExpectedWait expectedWaitOfNew(Instant now, const internal::ServiceState &service,
+                                             const SlotRequest &request) const;
+    internal::WaitingRequest makeWaiting(Instant now, SlotRequest request) const;
+    void rejectLastInOrder(Instant now, internal::ServiceState &service, std::uint32_t priority);
     void updateServerCounts(Instant now, internal::ServiceState &service);
 
     std::uint64_t epoch_;
@@ -343,6 +358,7 @@
     double shareReservedForOthers_ = 0;
     std::uint64_t lastSlotId_ = 0;
     std::uint64_t lastSelection_ = 0;
+    std::uint64_t displacedRequestCount_ = 0;
     std::vector<Action> actions_;
 };
 
--- a/src/scheduler/slotresults.cpp
+++ b/src/scheduler/slotresults.cpp
@@ -37,6 +37,8 @@
 // Limits the effect of a single slow request on the typical latency to this ratio.
 constexpr double MaxLatencyRatio = 4;
 constexpr double InitialLatencyMicroseconds = 150'000;
+// A server counts as at most this much faster than usual.
+constexpr double MinSlowness = 0.5;
 
 bool isInconclusive(Outcome outcome)
 {
@@ -229,7 +231,7 @@
     std::uint32_t inService = 0;
     std::uint32_t reached = 0;
     std::uint32_t slots = 0;
-    double capacity = 0;
+    double typicalSlots = 0;
     for (auto &[id, server] : service.servers) {
         if (!isInService(*server)) {
             continue;
@@ -242,17 +244,18 @@
             continue;
         }
         slots += server->info.slots;
-        const double bySlots = server->info.slots * 1e6 / service.microsecondsPerRequest;
-        capacity += server->requestLimit.isActive()
-            ? std::min(bySlots, server->requestLimit.grantedPerSecond())
-            : bySlots;
+        const double bySpeed =
+            server->info.slots / std::max(server->health.slowness(), MinSlowness);
+        const double byLimit =
+            server->requestLimit.grantedPerSecond() * service.microsecondsPerRequest / 1e6;
+        typicalSlots += server->requestLimit.isActive() ? std::min(bySpeed, byLimit) : bySpeed;
     }
     service.serversInService = inService;
     const double floor = limits_.floorShare * inService;
     const bool belowFloor = reached < floor && service.lostShare(now) > LossThresholdForFloor;
     service.usesSuspectedServers = trusted < floor * RelaxedFloorFraction || belowFloor;
     service.usableSlots = slots;
-    service.requestsPerSecondCapacity = capacity;
+    service.typicalSlots = typicalSlots;
 }
 
 } // namespace daisyhaven::scheduler
--- a/src/scheduler/waitingrequests.cpp
+++ b/src/scheduler/waitingrequests.cpp
@@ -9,6 +9,7 @@
 
 namespace daisyhaven::scheduler {
 
+using internal::ExpectedWait;
 using internal::ServerState;
 using internal::ServiceState;
 
@@ -36,43 +37,106 @@
     return request.deadline - toDuration(typicalLatency(request.route) * ServiceTimeReserve);
 }
 
-// The capacity that more urgent requests leave serves the requests that wait already, and then this
-// one.
-Duration Scheduler::expectedWait(Instant now, const ServiceState &service,
-                                 std::uint32_t priority) const
+// Number of slots of typical speed that requests more urgent than `priority` leave.
+double Scheduler::slotsLeftFor(Instant now, const ServiceState &service,
+                               std::uint32_t priority) const
+{
+    const double slots = service.typicalSlots;
+    return std::max(slots - service.requestRates.higherPrioritySlots(now, priority),
+                    slots * MinCapacityFraction);
+}
+
+// Predicts when a slot is granted to a request that `slotTimeAhead` is granted before, its own
+// included, since all slots are in use when it arrives.
+ExpectedWait Scheduler::expectedWait(Instant now, const ServiceState &service,
+                                     std::uint32_t priority, Duration slotTimeAhead) const
 {
     if (service.usableSlots == 0) {
-        return MaxRetryAfter;
+        return { MaxRetryAfter, MaxRetryAfter };
+    }
+    const auto microseconds = static_cast<double>(slotTimeAhead.count());
+    // A request whose target is out of reach comes after all that arrive with its priority.
+    return { toDuration(microseconds / slotsLeftFor(now, service, priority)),
+             toDuration(microseconds / slotsLeftFor(now, service, priority + 1)) };
+}
+
+ExpectedWait Scheduler::expectedWaitOfNew(Instant now, const ServiceState &service,
+                                          const SlotRequest &request) const
+{
+    const internal::WaitingQueue &queue = service.waitingQueue;
+    const Duration slotTime = toDuration(typicalLatency(request.route));
+    const Duration ahead = queue.slotTimeAhead(request.priority, request.team) + slotTime;
+    const ExpectedWait byQueue = expectedWait(now, service, request.priority, ahead);
+    const internal::TeamShare share = queue.shareOf(now, request.priority, request.team);
+    // Other teams that are within their shares go on to send, so a team with a backlog goes on to
+    // get the slots that it got.
+    const double fairSlots = share.fairFraction * slotsLeftFor(now, service, request.priority);
+    const double slots = std::max(fairSlots, share.observedSlots);
+    if (share.observedSlots == 0 || service.usableSlots == 0) {
+        return byQueue;
     }
-    const double capacity = service.requestsPerSecondCapacity;
-    const double left =
-        std::max(capacity - service.requestRates.higherPriorityPerSecond(now, priority),
-                 capacity * MinCapacityFraction);
-    return toDuration(1e6 * static_cast<double>(service.waitingQueue.countAhead(priority) + 1)
-                      / left);
+    const Duration byShare =
+        toDuration(static_cast<double>((share.backlog + slotTime).count()) / slots);
+    return { std::max(byQueue.beforeTarget, byShare), std::max(byQueue.afterTarget, byShare) };
+}
+
+internal::WaitingRequest Scheduler::makeWaiting(Instant now, SlotRequest request) const
+{
+    internal::WaitingRequest waiting;
+    waiting.enqueuedAt = now;
+    waiting.slotTime = toDuration(typicalLatency(request.route));
+    waiting.latestStartTime = latestStartTime(request);
+    // A target that is out of reach on arrival leaves the deadline as the only limit.
+    const Instant targetStart = request.targetTime - waiting.slotTime;
+    waiting.targetStartTime = targetStart < now ? waiting.latestStartTime
+                                                : std::min(targetStart, waiting.latestStartTime);
+    waiting.teamWeight = rateLimiter_->weight(request.team);
+    waiting.request = std::move(request);
+    return waiting;
 }
 
 void Scheduler::enqueueOrReject(Instant now, ServiceState &service, SlotRequest request)
 {
-    const Duration wait = expectedWait(now, service, request.priority);
+    const ExpectedWait wait = expectedWaitOfNew(now, service, request);
+    const std::uint32_t priority = request.priority;
+    internal::WaitingRequest waiting = makeWaiting(now, std::move(request));
     // Servers announce themselves again to a new leader, which takes a moment.
     const bool leaderSettling = now - startedAt_ < LeaderSettlingTime;
     const bool inTime =
-        now + wait <= latestStartTime(request) || (leaderSettling && service.usableSlots == 0);
+        wait.allowsStart(now, waiting) || (leaderSettling && service.usableSlots == 0);
     const bool noServer = service.serversInService == 0 && !leaderSettling;
     if (noServer || !inTime) {
         const ResultCode code =
             service.serversInService == 0 ? ResultCode::NoBackendServer : ResultCode::QueueFull;
-        reject(now, request, code, wait,
+        reject(now, waiting.request, code, wait.beforeTarget,
                "servers=" + std::to_string(service.serversInService)
                    + " usableSlots=" + std::to_string(service.usableSlots)
                    + " waiting=" + std::to_string(service.waitingQueue.size())
-                   + " expectedWaitMs=" + std::to_string(wait.count() / 1000));
+                   + " expectedWaitMs=" + std::to_string(wait.beforeTarget.count() / 1000));
+        return;
+    }
+    service.waitingQueue.push(std::move(waiting));
+    rejectLastInOrder(now, service, priority);
+}
+
+// A request of `priority` was added. If the one that is served last no longer starts in time, or if
+// too many wait, it is rejected now rather than at its deadline.
+void Scheduler::rejectLastInOrder(Instant now, ServiceState &service, std::uint32_t priority)
+{
+    internal::WaitingQueue &queue = service.waitingQueue;
+    const internal::WaitingRequest &last = *queue.lastInOrder();
+    const ExpectedWait wait =
+        expectedWait(now, service, priority, queue.slotTimeUpTo(last.request.priority));
+    const bool inTime = service.usableSlots == 0 || wait.allowsStart(now, last);
+    if (inTime && queue.size() <= limits_.maxWaitingRequests) {
         return;
     }
-    const Instant targetStart = request.targetTime - toDuration(typicalLatency(request.route));
-    const Instant latestStart = latestStartTime(request);
-    service.waitingQueue.push({ std::move(request), now, targetStart, latestStart });
+    ++displacedRequestCount_;
+    const std::string reason = "displaced: teamWaiting=" + std::to_string(queue.heaviestTeamSize())
+        + " waiting=" + std::to_string(queue.size())
+        + " expectedWaitMs=" + std::to_string(wait.beforeTarget.count() / 1000);
+    const auto request = queue.remove(last.request.key);
+    reject(now, *request, ResultCode::QueueFull, wait.beforeTarget, reason);
 }
 
 void Scheduler::grantWaitingRequests(Instant now, ServiceState &service)
@@ -88,7 +152,7 @@
 {
     for (const SlotRequest &request : service.waitingQueue.takeExpired(now)) {
         reject(now, request, ResultCode::DeadlineUnreachable,
-               expectedWait(now, service, request.priority),
+               expectedWaitOfNew(now, service, request).beforeTarget,
                "no slot became free in time to meet the deadline");
     }
 }
