Callers' connections: nothing is read behind a response that names the close

Callers saw: a response that began before its request's body had arrived said Connection: close; if the body ended before the response, the connection stayed open and the request sent behind it was read and served. The caller counts that request as unread and sends it again, whatever its kind, so one that must not run twice could. Cause: sendHead() added the field and forgot it; endResponse() decided anew.

--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -130,7 +130,10 @@
     {
         std::string statusLine = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status);
         Headers allHeaders = headers;
-        if (!keepAlive_ || !requestEnded_) {
+        // The caller takes what it sent behind this response as unread, also if its request ends
+        // before the response does.
+        keepAlive_ = keepAlive_ && requestEnded_;
+        if (!keepAlive_) {
             allHeaders.add("Connection", "close");
         }
         const bool bodiless = status == 204 || status == 304 || status < 200;
