Callers' connections: a full input no longer keeps the event loop busy

Found by sentahead_test: a caller that sends more than 64 KiB ahead of an unanswered request fills the input up to its watermark. libevent reports a full input again after each callback that leaves it full, so the VM's event loop ran without a pause until the response ended, and a closing connection's linger timeout did not run. Change: reading pauses while the input is full and goes on when the next request is due; a closing connection drops its input.

--- a/src/http/sentahead_test.cpp
+++ b/src/http/sentahead_test.cpp
@@ -37,14 +37,12 @@
     }
     ~CallerAhead() override { close(sockets_[1]); }
 
-    // Returns how many bytes the connection's socket took.
-    std::size_t send(const std::string &text)
+    void send(const std::string &text)
     {
-        const ssize_t sent = write(sockets_[1], text.data(), text.size());
+        EXPECT_EQ(write(sockets_[1], text.data(), text.size()), static_cast<ssize_t>(text.size()));
         for (int turn = 0; turn < 4; ++turn) {
             event_base_loop(base_.get(), EVLOOP_NONBLOCK);
         }
-        return sent > 0 ? static_cast<std::size_t>(sent) : 0;
     }
 
     void respond()
@@ -114,7 +112,8 @@
     EXPECT_TRUE(connection_->isClosing());
 }
 
-TEST_F(CallerAhead, UnreadRequestsAreBounded)
+// A full input was reported again and again, which kept the event loop from anything else.
+TEST_F(CallerAhead, UnreadRequestsAreBoundedAndLeaveTheEventLoopIdle)
 {
     constexpr int SocketBufferBytes = 16 * 1024;
     setsockopt(sockets_[1], SOL_SOCKET, SO_SNDBUF, &SocketBufferBytes, sizeof(SocketBufferBytes));
@@ -123,12 +122,22 @@
         many += request("/many");
     }
     std::size_t taken = 0;
-    for (int i = 0; i < 256; ++i) {
-        taken += send(many);
+    for (int i = 0; i < 64; ++i) {
+        const ssize_t sent = write(sockets_[1], many.data(), many.size());
+        taken += sent > 0 ? static_cast<std::size_t>(sent) : 0;
+        const timeval limit { 0, 5000 };
+        event_base_loopexit(base_.get(), &limit);
+        event_base_loop(base_.get(), EVLOOP_NONBLOCK);
     }
     EXPECT_EQ(read_.size(), 1U);
     // The connection holds up to the watermark and one read more; the rest stays with the socket.
     EXPECT_LE(taken, 2 * InputHighWatermarkBytes + 4 * SocketBufferBytes);
+    EXPECT_EQ(event_base_get_num_events(base_.get(), EVENT_BASE_COUNT_ACTIVE), 0);
+    for (std::size_t answered = 1; answered <= 100; ++answered) {
+        respond();
+        EXPECT_EQ(read_.size(), answered + 1);
+        receive();
+    }
 }
 
 } // namespace
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -150,6 +150,9 @@
         }
         requestEnded_ = false;
         awaitingNextRequest_ = true;
+        if (std::exchange(inputIsFull_, false)) {
+            transport_.setReading(true);
+        }
         processInput();
     }
 
@@ -224,6 +227,9 @@
         }
         lingering_ = true;
         shutdown(bufferevent_getfd(transport_.get()), SHUT_WR);
+        // A full input would keep the timeout from running.
+        evbuffer *input = bufferevent_get_input(transport_.get());
+        evbuffer_drain(input, evbuffer_get_length(input));
         const timeval lingerTimeout { 1, 0 };
         bufferevent_set_timeouts(transport_.get(), &lingerTimeout, nullptr);
         bufferevent_enable(transport_.get(), EV_READ);
@@ -251,9 +257,20 @@
         parsing_ = true;
         while (!closed_ && !closing_ && parseInput(input)) { }
         parsing_ = false;
+        pauseIfInputIsFull(input);
         reportInvalidMessage();
     }
 
+    // Requests that the caller sent ahead fill the input. libevent reports a full input again and
+    // again, so reading pauses until the next request is due.
+    void pauseIfInputIsFull(evbuffer *input)
+    {
+        if (evbuffer_get_length(input) >= InputHighWatermarkBytes) {
+            inputIsFull_ = true;
+            transport_.setReading(false);
+        }
+    }
+
     // Parses input until the end of a message at most. Returns whether more of it can be parsed.
     bool parseInput(evbuffer *input)
     {
@@ -306,6 +323,8 @@
     // The parser runs. A callback may end a response then, which must not start the parser again:
     // the input still holds what it has just parsed.
     bool parsing_ = false;
+    // Reading is paused since the input holds as much as it may.
+    bool inputIsFull_ = false;
     bool closing_ = false;
     bool lingering_ = false;
     bool closed_ = false;
