--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -130,7 +130,10 @@
     {
         std::string statusLine = "HTTP/1.1 " + std::to_string(status) + " " + reasonPhrase(status);
         Headers allHeaders = headers;
-        if (!keepAlive_ || !requestEnded_) {
+        // The caller takes what it sent behind this response as unread, also if its request ends
+        // before the response does.
+        keepAlive_ = keepAlive_ && requestEnded_;
+        if (!keepAlive_) {
             allHeaders.add("Connection", "close");
         }
         const bool bodiless = status == 204 || status == 304 || status < 200;
@@ -147,6 +150,9 @@
         }
         requestEnded_ = false;
         awaitingNextRequest_ = true;
+        if (std::exchange(inputIsFull_, false)) {
+            transport_.setReading(true);
+        }
         processInput();
     }
 
@@ -221,6 +227,9 @@
         }
         lingering_ = true;
         shutdown(bufferevent_getfd(transport_.get()), SHUT_WR);
+        // A full input would keep the timeout from running.
+        evbuffer *input = bufferevent_get_input(transport_.get());
+        evbuffer_drain(input, evbuffer_get_length(input));
         const timeval lingerTimeout { 1, 0 };
         bufferevent_set_timeouts(transport_.get(), &lingerTimeout, nullptr);
         bufferevent_enable(transport_.get(), EV_READ);
@@ -248,9 +257,20 @@
         parsing_ = true;
         while (!closed_ && !closing_ && parseInput(input)) { }
         parsing_ = false;
+        pauseIfInputIsFull(input);
         reportInvalidMessage();
     }
 
+    // Requests that the caller sent ahead fill the input. libevent reports a full input again and
+    // again, so reading pauses until the next request is due.
+    void pauseIfInputIsFull(evbuffer *input)
+    {
+        if (evbuffer_get_length(input) >= InputHighWatermarkBytes) {
+            inputIsFull_ = true;
+            transport_.setReading(false);
+        }
+    }
+
     // Parses input until the end of a message at most. Returns whether more of it can be parsed.
     bool parseInput(evbuffer *input)
     {
@@ -303,6 +323,8 @@
     // The parser runs. A callback may end a response then, which must not start the parser again:
     // the input still holds what it has just parsed.
     bool parsing_ = false;
+    // Reading is paused since the input holds as much as it may.
+    bool inputIsFull_ = false;
     bool closing_ = false;
     bool lingering_ = false;
     bool closed_ = false;
