Scheduler: a retry that waits for a slot takes its part of the budget

Cause: the budget was checked when a retry arrived and recorded when it got a slot. Every retry that came while others waited passed the check, so a full service let the whole queue through. Change: a waiting retry counts against the budget; it is given back if the request leaves or expires.

--- a/src/scheduler/internal/state.h
+++ b/src/scheduler/internal/state.h
@@ -13,7 +13,8 @@
 
 namespace daisyhaven::scheduler::internal {
 
-// Counts first attempts and retries of one service in a sliding window.
+// Counts first attempts and retries of one service in a sliding window. Hedged sends are retries
+// that may use only a part of the budget.
 class RetryBudget
 {
 public:
@@ -29,11 +30,19 @@
         dropBefore(firstAttempts_, now - limits.retryWindow);
     }
     void recordRetry(Instant now) { retries_.push_back(now); }
+    // A retry that waits for a slot may be sent at any moment, so it takes its part of the budget
+    // while it waits.
+    void addWaitingRetry() { ++waitingRetries_; }
+    void removeWaitingRetry() { waitingRetries_ -= waitingRetries_ > 0 ? 1 : 0; }
 
     bool allowsRetry(Instant now, const Limits &limits)
     {
         return dropExpiredAndCount(now, limits) + 1 <= maxRetries(limits);
     }
+    bool allowsHedge(Instant now, const Limits &limits)
+    {
+        return dropExpiredAndCount(now, limits) + 1 <= maxRetries(limits) * MaxHedgeFraction;
+    }
 
     // Returns whether probing every suspected server could use up the remaining retries.
     bool isNearlySpent(Instant now, const Limits &limits)
@@ -44,12 +53,15 @@
 private:
     // Retries that probes leave to requests that fail unexpectedly.
     static constexpr double ReservedForFailures = 10;
+    // Hedges stop at this fraction of the budget: the rest is left to requests that have failed,
+    // which have no other send that may still succeed.
+    static constexpr double MaxHedgeFraction = 0.6;
 
     double dropExpiredAndCount(Instant now, const Limits &limits)
     {
         dropBefore(firstAttempts_, now - limits.retryWindow);
         dropBefore(retries_, now - limits.retryWindow);
-        return static_cast<double>(retries_.size());
+        return static_cast<double>(retries_.size() + waitingRetries_);
     }
 
     double maxRetries(const Limits &limits) const
@@ -66,6 +78,7 @@
 
     std::deque<Instant> firstAttempts_;
     std::deque<Instant> retries_;
+    std::size_t waitingRetries_ = 0;
 };
 
 struct ServerState
--- a/src/scheduler/waitingrequests.cpp
+++ b/src/scheduler/waitingrequests.cpp
@@ -72,6 +72,9 @@
     }
     const Instant targetStart = request.targetTime - toDuration(typicalLatency(request.route));
     const Instant latestStart = latestStartTime(request);
+    if (request.isRetry) {
+        service.retryBudget.addWaitingRetry();
+    }
     service.waitingQueue.push({ std::move(request), now, targetStart, latestStart });
 }
 
@@ -80,13 +83,20 @@
     service.waitingQueue.grantInOrder(
         now, MaxWaitingMisses, [&](const internal::WaitingRequest &waiting) {
             const bool hasWaitedLong = now - waiting.enqueuedAt > LongWaitThreshold;
-            return tryGrant(now, service, waiting.request, hasWaitedLong);
+            const bool granted = tryGrant(now, service, waiting.request, hasWaitedLong);
+            if (granted && waiting.request.isRetry) {
+                service.retryBudget.removeWaitingRetry();
+            }
+            return granted;
         });
 }
 
 void Scheduler::rejectExpiredRequests(Instant now, ServiceState &service)
 {
     for (const SlotRequest &request : service.waitingQueue.takeExpired(now)) {
+        if (request.isRetry) {
+            service.retryBudget.removeWaitingRetry();
+        }
         reject(now, request, ResultCode::DeadlineUnreachable,
                expectedWait(now, service, request.priority),
                "no slot became free in time to meet the deadline");
@@ -111,6 +121,9 @@
 {
     for (auto &[name, service] : services_) {
         if (const auto request = service->waitingQueue.remove(key)) {
+            if (request->isRetry) {
+                service->retryBudget.removeWaitingRetry();
+            }
             if (!request->hasRateToken) {
                 rateLimiter_->returnToken(now, request->team);
             }
