--- a/src/scheduler/waitingrequests.cpp
+++ b/src/scheduler/waitingrequests.cpp
@@ -30,6 +30,14 @@
 constexpr Milliseconds MaxRetryAfter { 3000 };
 constexpr Seconds LeaderSettlingTime { 2 };
 
+// Gives back the part of the retry budget that a waiting retry held.
+void recordLeftQueue(ServiceState &service, const SlotRequest &request)
+{
+    if (request.isRetry) {
+        service.retryBudget.removeWaitingRetry();
+    }
+}
+
 } // namespace
 
 Instant Scheduler::latestStartTime(const SlotRequest &request) const
@@ -115,6 +123,9 @@
                    + " expectedWaitMs=" + std::to_string(wait.beforeTarget.count() / 1000));
         return;
     }
+    if (waiting.request.isRetry) {
+        service.retryBudget.addWaitingRetry();
+    }
     service.waitingQueue.push(std::move(waiting));
     rejectLastInOrder(now, service, priority);
 }
@@ -136,6 +147,7 @@
         + " waiting=" + std::to_string(queue.size())
         + " expectedWaitMs=" + std::to_string(wait.beforeTarget.count() / 1000);
     const auto request = queue.remove(last.request.key);
+    recordLeftQueue(service, *request);
     reject(now, *request, ResultCode::QueueFull, wait.beforeTarget, reason);
 }
 
@@ -144,13 +156,18 @@
     service.waitingQueue.grantInOrder(
         now, MaxWaitingMisses, [&](const internal::WaitingRequest &waiting) {
             const bool hasWaitedLong = now - waiting.enqueuedAt > LongWaitThreshold;
-            return tryGrant(now, service, waiting.request, hasWaitedLong);
+            const bool granted = tryGrant(now, service, waiting.request, hasWaitedLong);
+            if (granted) {
+                recordLeftQueue(service, waiting.request);
+            }
+            return granted;
         });
 }
 
 void Scheduler::rejectExpiredRequests(Instant now, ServiceState &service)
 {
     for (const SlotRequest &request : service.waitingQueue.takeExpired(now)) {
+        recordLeftQueue(service, request);
         reject(now, request, ResultCode::DeadlineUnreachable,
                expectedWaitOfNew(now, service, request).beforeTarget,
                "no slot became free in time to meet the deadline");
@@ -175,6 +192,7 @@
 {
     for (auto &[name, service] : services_) {
         if (const auto request = service->waitingQueue.remove(key)) {
+            recordLeftQueue(*service, *request);
             if (!request->hasRateToken) {
                 rateLimiter_->returnToken(now, request->team);
             }
