Scheduler: a service whose servers grant nothing has no predictable wait

Cause: servers whose own request limits leave nothing gave a capacity of 0, by which a wait was divided. Change: such a service counts as one without usable slots.

--- a/src/http/sentahead_test.cpp
+++ b/src/http/sentahead_test.cpp
@@ -131,7 +131,7 @@
     }
     EXPECT_EQ(read_.size(), 1U);
     // The connection holds up to the watermark and one read more; the rest stays with the socket.
-    EXPECT_LE(taken, 2 * InputHighWatermarkBytes + 4 * SocketBufferBytes);
+    EXPECT_LE(taken, 2 * InputHighWatermarkBytes + 4UL * SocketBufferBytes);
     EXPECT_EQ(event_base_get_num_events(base_.get(), EVENT_BASE_COUNT_ACTIVE), 0);
     for (std::size_t answered = 1; answered <= 100; ++answered) {
         respond();
--- a/src/scheduler/waitingrequests.cpp
+++ b/src/scheduler/waitingrequests.cpp
@@ -30,6 +30,12 @@
 constexpr Milliseconds MaxRetryAfter { 3000 };
 constexpr Seconds LeaderSettlingTime { 2 };
 
+// Without usable slots, nothing is known of how long a request waits.
+bool hasUsableSlots(const ServiceState &service)
+{
+    return service.usableSlots > 0 && service.typicalSlots > 0;
+}
+
 } // namespace
 
 Instant Scheduler::latestStartTime(const SlotRequest &request) const
@@ -51,7 +57,7 @@
 ExpectedWait Scheduler::expectedWait(Instant now, const ServiceState &service,
                                      std::uint32_t priority, Duration slotTimeAhead) const
 {
-    if (service.usableSlots == 0) {
+    if (!hasUsableSlots(service)) {
         return { MaxRetryAfter, MaxRetryAfter };
     }
     const auto microseconds = static_cast<double>(slotTimeAhead.count());
@@ -68,13 +74,13 @@
     const Duration ahead = queue.slotTimeAhead(request.priority, request.team) + slotTime;
     const ExpectedWait byQueue = expectedWait(now, service, request.priority, ahead);
     const internal::TeamShare share = queue.shareOf(now, request.priority, request.team);
+    if (share.observedSlots == 0 || !hasUsableSlots(service)) {
+        return byQueue;
+    }
     // Other teams that are within their shares go on to send, so a team with a backlog goes on to
     // get the slots that it got.
     const double fairSlots = share.fairFraction * slotsLeftFor(now, service, request.priority);
     const double slots = std::max(fairSlots, share.observedSlots);
-    if (share.observedSlots == 0 || service.usableSlots == 0) {
-        return byQueue;
-    }
     const Duration byShare =
         toDuration(static_cast<double>((share.backlog + slotTime).count()) / slots);
     return { std::max(byQueue.beforeTarget, byShare), std::max(byQueue.afterTarget, byShare) };
@@ -127,7 +133,7 @@
     const internal::WaitingRequest &last = *queue.lastInOrder();
     const ExpectedWait wait =
         expectedWait(now, service, priority, queue.slotTimeUpTo(last.request.priority));
-    const bool inTime = service.usableSlots == 0 || wait.allowsStart(now, last);
+    const bool inTime = !hasUsableSlots(service) || wait.allowsStart(now, last);
     if (inTime && queue.size() <= limits_.maxWaitingRequests) {
         return;
     }
