Zones: predicted response times decide how much of a service leaves its zone

Cause: leaving the zone cost two constants, whatever the zones' load, room or distance, and any request of any zone looked after idle servers.

Change: ZoneBalancer (no clock, no I/O) compares the demand of each zone's callers with the room of its servers, and moves demand by water-filling while a request gains more than the distance and a quarter of the service time; shares are damped and dealt out evenly, large bodies last. The scheduler prefers servers of the zone that it picked; VMs without a leader draw by the shares of their last view (FleetViewReply 20). OtherZoneCost and its twins are gone. Idle servers are looked after by VMs with a connection first and by other zones last. Counter daisyhaven_other_zone_requests_total.

Preferred servers by rendezvous hashing were tried and taken out: floor_test failed.

--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -751,9 +751,7 @@
         reply.set_epoch(scheduler_->epoch());
         reply.set_sequence(viewChanges_.sequence());
         reply.set_entry_vms(static_cast<std::uint32_t>(entryVms_.size()));
-        for (const std::string &team : scheduler_->busyTeams(now)) {
-            reply.add_busy_teams(team);
-        }
+        addLoadSummary(now, *scheduler_, &reply);
         if (watcher.wantsRelays) {
             for (std::string &relay : entryVms_.pickRelays(now, watcher.vm, random_)) {
                 reply.add_relays(std::move(relay));
--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -59,6 +59,8 @@
     std::size_t entryVmCount = 1;
     // Teams that requested most of their rates as of the last message from the leader.
     std::set<std::string> busyTeams;
+    // Shares of requests that left their zone as of that message.
+    std::vector<scheduler::ZoneShare> zoneShares;
 };
 
 // An entry VM through which another one can send requests to backend servers.
--- a/src/coordination/internal/viewcodec.h
+++ b/src/coordination/internal/viewcodec.h
@@ -2,6 +2,7 @@
 // protocol.
 #pragma once
 
+#include "coordination/coordination.h"
 #include "directory/directory.h"
 #include "peer/generated/peer.pb.h"
 #include "scheduler/scheduler.h"
@@ -20,6 +21,10 @@
 scheduler::KnownServer fromWire(Instant now, const wire::FleetServer &message);
 scheduler::KnownServer toKnownServer(const directory::ServerEntry &entry, bool suspected);
 directory::Announcement toAnnouncement(Instant now, const scheduler::KnownServer &server);
+// Adds what a VM needs to know about the load if it loses the leader.
+void addLoadSummary(Instant now, const scheduler::Scheduler &scheduler,
+                    wire::FleetViewReply *reply);
+void applyLoadSummary(const wire::FleetViewReply &reply, FleetView *view);
 wire::SlotAnswer toWire(const scheduler::Grant &grant, std::uint64_t epoch);
 wire::SlotAnswer toWire(const scheduler::Rejection &rejection, std::uint64_t epoch);
 scheduler::Outcome outcomeFromWire(const wire::SlotRelease &message);
--- a/src/coordination/leaderclient.cpp
+++ b/src/coordination/leaderclient.cpp
@@ -409,7 +409,7 @@
         view_.epoch = reply.epoch();
         view_.sequence = reply.sequence();
         view_.entryVmCount = std::max<std::size_t>(reply.entry_vms(), 1);
-        view_.busyTeams = { reply.busy_teams().begin(), reply.busy_teams().end() };
+        applyLoadSummary(reply, &view_);
         for (const std::string &id : reply.removed()) {
             view_.servers.erase(id);
         }
--- a/src/coordination/viewcodec.cpp
+++ b/src/coordination/viewcodec.cpp
@@ -4,11 +4,15 @@
 #include "text/text.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace daisyhaven::coordination {
 
 namespace {
 
+// Shares are sent in thousandths.
+constexpr double ShareUnits = 1000;
+
 std::uint32_t remainingMilliseconds(Instant now, Instant until)
 {
     const auto remaining = std::chrono::ceil<Milliseconds>(until - now).count();
@@ -98,6 +102,33 @@
     return announcement;
 }
 
+void addLoadSummary(Instant now, const scheduler::Scheduler &scheduler, wire::FleetViewReply *reply)
+{
+    for (const std::string &team : scheduler.busyTeams(now)) {
+        reply->add_busy_teams(team);
+    }
+    for (const scheduler::ZoneShare &share : scheduler.zoneShares()) {
+        wire::ZoneShare *message = reply->add_zone_shares();
+        message->set_service(share.service);
+        message->set_from(share.from);
+        message->set_to(share.to);
+        message->set_permille(static_cast<std::uint32_t>(std::lround(share.share * ShareUnits)));
+    }
+}
+
+void applyLoadSummary(const wire::FleetViewReply &reply, FleetView *view)
+{
+    view->busyTeams = { reply.busy_teams().begin(), reply.busy_teams().end() };
+    view->zoneShares.clear();
+    for (const wire::ZoneShare &share : reply.zone_shares()) {
+        if (isReadableName(share.service()) && isReadableName(share.from())
+            && isReadableName(share.to())) {
+            view->zoneShares.push_back({ share.service(), share.from(), share.to(),
+                                         static_cast<double>(share.permille()) / ShareUnits });
+        }
+    }
+}
+
 wire::SlotAnswer toWire(const scheduler::Grant &grant, std::uint64_t epoch)
 {
     wire::SlotAnswer message;
--- a/src/gateway/backendcall.cpp
+++ b/src/gateway/backendcall.cpp
@@ -92,10 +92,20 @@
     return callbacks;
 }
 
+void BackendCall::countZone() const
+{
+    const scheduler::ServerInfo *server = context_.slots.findServer(slot_.server);
+    if (server != nullptr && server->zone != context_.options.zone) {
+        context_.metrics.addToCounter("daisyhaven_other_zone_requests_total",
+                                      { { "service", server->service } });
+    }
+}
+
 void BackendCall::start(CallRequest request, CallCallbacks callbacks)
 {
     request_ = std::move(request);
     callbacks_ = std::move(callbacks);
+    countZone();
     PooledConnection pooled =
         context_.pool.acquire(slot_.server, slot_.address, maxIdleTime(request_.idempotent));
     connection_ = std::move(pooled.connection);
--- a/src/gateway/internal/backendcall.h
+++ b/src/gateway/internal/backendcall.h
@@ -84,6 +84,8 @@
     const std::optional<scheduler::ServerStatement> &statement() const { return statement_; }
 
 private:
+    // Counts a request to a server of another zone.
+    void countZone() const;
     http::ClientConnection::Callbacks makeConnectionCallbacks();
     void onHead(const http::ResponseHead &head);
     void onBody(std::string_view data);
--- a/src/gateway/internal/slotclient.h
+++ b/src/gateway/internal/slotclient.h
@@ -68,6 +68,8 @@
     // window.
     std::map<std::string, std::uint32_t> unreportedLocalAdmissions();
     void markAdmissionsReported(const std::map<std::string, std::uint32_t> &admissions);
+    // Returns the server as listed in the last view, or nullptr.
+    const scheduler::ServerInfo *findServer(const std::string &id) const;
     // Returns the members of `servers` that belong to `service`.
     std::set<std::string> filterByService(const std::set<std::string> &servers,
                                           const std::string &service) const;
@@ -104,7 +106,6 @@
     bool isBlocked(const Slot &slot) const;
     void rejectBlocked(std::uint64_t slotRequestId, Instant blockedUntil);
     void requestOtherServer(std::uint64_t slotRequestId, const Slot &blocked);
-    std::uint64_t startTimeOf(const std::string &server) const;
     std::map<std::string, std::uint32_t> slotsInUseByServer() const;
     const scheduler::KnownServer *pickServer(scheduler::SlotRequest request);
     void onLeaderResponse(std::uint64_t slotRequestId,
--- a/src/gateway/slotclient.cpp
+++ b/src/gateway/slotclient.cpp
@@ -91,11 +91,11 @@
                       [&](const auto &server) { return server.second.info.service == service; }));
 }
 
-std::uint64_t SlotClient::startTimeOf(const std::string &server) const
+const scheduler::ServerInfo *SlotClient::findServer(const std::string &id) const
 {
     const auto &servers = leader_.view().servers;
-    const auto known = servers.find(server);
-    return known == servers.end() ? 0 : known->second.info.startTimeMs;
+    const auto known = servers.find(id);
+    return known == servers.end() ? nullptr : &known->second.info;
 }
 
 std::optional<Instant> SlotClient::blockedUntil(const std::string &service) const
@@ -118,8 +118,7 @@
     const Instant now = timers_.now();
     limitShares_.recordLimit(now, slot.server, slot.serverStartTimeMs, statement.requestsPerSecond,
                              leader_.view());
-    const bool isNew = restrictions_.record(now, slot.server, slot.serverStartTimeMs, statement);
-    if (isNew) {
+    if (restrictions_.record(now, slot.server, slot.serverStartTimeMs, statement)) {
         logEvent(Event::ServerStatementHeard,
                  { { "server", slot.server },
                    { "leaving", statement.leaving ? "yes" : "no" },
@@ -239,10 +238,10 @@
 
 void SlotClient::onSlotGranted(std::uint64_t slotRequestId, const wire::SlotAnswer &response)
 {
-    const std::uint64_t startTimeMs =
-        response.born() != 0 ? response.born() : startTimeOf(response.server());
+    const scheduler::ServerInfo *known = findServer(response.server());
+    const std::uint64_t knownStartTimeMs = known == nullptr ? 0 : known->startTimeMs;
     const Slot slot { response.server(), response.address(), response.slot(), response.epoch(),
-                      startTimeMs };
+                      response.born() != 0 ? response.born() : knownStartTimeMs };
     recordSlotUse(slot);
     const auto pending = pending_.find(slotRequestId);
     if (pending == pending_.end()) {
@@ -355,6 +354,7 @@
     const routing::Team *team =
         view.routingTable ? view.routingTable->findTeam(slotRequest.team) : nullptr;
     chooser_.setSharedLimits(view.entryVmCount, rateTolerance_, view.busyTeams);
+    chooser_.setZoneShares(view.zoneShares);
     const bool needsToken = team != nullptr && !slotRequest.hasRateToken;
 
     const scheduler::KnownServer *server = pickServer(slotRequest);
--- a/src/scheduler/internal/state.h
+++ b/src/scheduler/internal/state.h
@@ -6,6 +6,7 @@
 #include "scheduler/internal/serverhealth.h"
 #include "scheduler/internal/tokenbucket.h"
 #include "scheduler/internal/waitingqueue.h"
+#include "scheduler/internal/zonebalancer.h"
 #include "scheduler/scheduler.h"
 
 #include <cmath>
@@ -120,6 +121,7 @@
     std::string name;
     std::map<std::string, std::unique_ptr<ServerState>> servers;
     WaitingQueue waitingQueue;
+    ZoneBalancer zoneBalancer;
     RequestRateByPriority requestRates;
     RetryBudget retryBudget;
     double microsecondsPerRequest = 150'000;
--- a/src/scheduler/localloadbalancer.cpp
+++ b/src/scheduler/localloadbalancer.cpp
@@ -22,7 +22,9 @@
 constexpr double RetryRatio = 0.18;
 constexpr Seconds RetryWindow { 10 };
 
-constexpr double OtherZoneCost = 0.5;
+// More than the largest difference by chance, so a request leaves its zone only for a server that
+// has done better or has fewer requests of this VM.
+constexpr double LeavingCost = 1;
 constexpr double SuspicionCost = 10;
 // A suspicion that the leader has not refreshed for this long is ignored.
 constexpr Seconds SuspicionLifetime { 3 };
@@ -234,6 +236,23 @@
 
 // ---- server selection ----
 
+// The VMs draw independently of each other, so together they follow the shares.
+const std::string &LocalLoadBalancer::drawZone(const SlotRequest &request)
+{
+    std::uniform_real_distribution<double> chance(0, 1);
+    double drawn = chance(random_);
+    for (const ZoneShare &share : zoneShares_) {
+        if (share.service != request.service || share.from != request.zone) {
+            continue;
+        }
+        if (drawn < share.share) {
+            return share.to;
+        }
+        drawn -= share.share;
+    }
+    return request.zone;
+}
+
 const KnownServer *LocalLoadBalancer::pickServer(Instant now, Duration viewAge,
                                                  const SlotRequest &request,
                                                  const std::map<std::string, KnownServer> &servers,
@@ -241,6 +260,7 @@
                                                  const std::map<std::string, std::uint32_t> &inUse)
 {
     std::uniform_real_distribution<double> jitter(0, 1);
+    const std::string &zone = drawZone(request);
     const KnownServer *best = nullptr;
     double bestCost = 0;
     for (const auto &[id, server] : servers) {
@@ -254,7 +274,7 @@
         const auto used = inUse.find(id);
         double cost = jitter(random_) + serverStats_.penalty(now, id);
         cost += used == inUse.end() ? 0 : used->second;
-        cost += info.zone == request.zone ? 0 : OtherZoneCost;
+        cost += info.zone == zone ? 0 : LeavingCost;
         cost += server.suspected && viewAge < SuspicionLifetime ? SuspicionCost : 0;
         if (best == nullptr || cost < bestCost) {
             best = &server;
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -197,6 +197,10 @@
         }
     }
     service.requestRates.record(now, request.priority);
+    if (!request.isRetry) {
+        service.zoneBalancer.recordRequest(now, request.zone, request.largeBody);
+    }
+    request.servingZone = service.zoneBalancer.pickZone(request.zone, request.largeBody);
     if (!tryGrant(now, service, request, false)) {
         enqueueOrReject(now, service, std::move(request));
     }
@@ -226,6 +230,7 @@
     crashRecords_->removeExpired(now);
     for (auto &[name, service] : services_) {
         updateServerCounts(now, *service);
+        updateZoneShares(now, *service);
         for (auto &[id, server] : service->servers) {
             updateSuspicion(now, *server, "failure probability decayed over time");
         }
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -115,6 +115,18 @@
     }
 };
 
+// Share of a service's requests from one zone that the servers of another zone should receive.
+struct ZoneShare
+{
+    std::string service;
+    std::string from;
+    std::string to;
+    double share = 0;
+
+    auto tied() const { return std::tie(service, from, to, share); }
+    friend bool operator==(const ZoneShare &a, const ZoneShare &b) { return a.tied() == b.tied(); }
+};
+
 // A request for a slot.
 struct SlotRequest
 {
@@ -135,6 +147,8 @@
     // A response by then has its full value; a later one is still useful until the deadline.
     Instant targetTime;
     std::string zone;
+    // Zone whose servers are preferred; chosen by the scheduler. Empty: `zone`.
+    std::string servingZone;
     std::set<std::string> excludedServers;
     // Servers to which the VM has an idle connection.
     std::set<std::string> connectedServers;
@@ -262,6 +276,8 @@
     double requestLimit(const std::string &server) const;
     // Teams whose requests reach most of their rates.
     std::set<std::string> busyTeams(Instant now) const;
+    // Shares of requests that should leave their zone, without those too small to matter.
+    std::vector<ZoneShare> zoneShares() const;
     // Sets the share of the entry VMs that this leader cannot reach. They admit requests by
     // themselves, so most of their share of the rates is reserved for them.
     void setUnreachableVmShare(Instant now, double share);
@@ -277,6 +293,7 @@
         std::string service;
         std::string serverId;
         std::string vm;
+        std::string vmZone;
         std::string route;
         std::string team;
         std::uint64_t fingerprint = 0;
@@ -324,6 +341,9 @@
     Duration expectedWait(Instant now, const internal::ServiceState &service,
                           std::uint32_t priority) const;
     void updateServerCounts(Instant now, internal::ServiceState &service);
+    void updateZoneShares(Instant now, internal::ServiceState &service);
+    void recordZoneLatency(internal::ServiceState &service, const GrantedSlot &slot,
+                           Duration latency);
 
     std::uint64_t epoch_;
     Limits limits_;
@@ -408,6 +428,8 @@
     // and the teams that were busy when the leader's last message arrived.
     void setSharedLimits(std::size_t entryVmCount, const RateTolerance &tolerance,
                          const std::set<std::string> &busyTeams);
+    // Sets the leader's shares, which this VM's requests follow by chance.
+    void setZoneShares(std::vector<ZoneShare> shares) { zoneShares_ = std::move(shares); }
     // Records a request that the leader admitted.
     void recordLeaderAdmission(Instant now, const std::string &team);
     // Returns whether one more request of the team may start, and counts it if so. The requests
@@ -453,11 +475,13 @@
     };
 
     double localLimit(const routing::Team &team, double expected) const;
+    const std::string &drawZone(const SlotRequest &request);
 
     std::mt19937_64 random_;
     std::size_t entryVmCount_ = 1;
     RateTolerance tolerance_;
     std::set<std::string> busyTeams_;
+    std::vector<ZoneShare> zoneShares_;
     std::map<std::string, TeamShare> teamShares_;
     // When the leader admitted the first request of any team on this VM.
     Instant firstLeaderAdmissionAt_;
--- a/src/scheduler/serverselection.cpp
+++ b/src/scheduler/serverselection.cpp
@@ -22,8 +22,12 @@
 // The high weight sends requests that are not idempotent to servers with a recent success rather
 // than to the least loaded ones.
 constexpr double NonIdempotentFailureCostWeight = 40.0;
-constexpr double OtherZoneCost = 0.3;
-constexpr double OtherZoneCostForLargeBody = 1.0;
+// A request leaves its serving zone for a server that is less likely to fail by this much, or if
+// the zone has no free slot.
+constexpr double LeavingFailureProbability = 0.02;
+// Difference in load, as a share of the slots, that alone makes a request leave.
+constexpr double LeavingLoad = 0.5;
+constexpr double LargeBodyLeavingFactor = 2;
 constexpr double NewConnectionCost = 0.45;
 // Higher than for idempotent requests, because the differences in failure cost are higher too.
 constexpr double NonIdempotentNewConnectionCost = 1.0;
@@ -36,6 +40,10 @@
 // reveal its health. Idempotent requests reach it first because they can be retried.
 constexpr Milliseconds IdleThreshold { 900 };
 constexpr Milliseconds NonIdempotentIdleThreshold { 1500 };
+// VMs of other zones leave such a server to those of its own zone for this long, and VMs with a
+// connection to it prefer it earlier by this time.
+constexpr Milliseconds OtherZoneIdleDelay { 100 };
+constexpr Milliseconds ConnectedIdleAdvance { 200 };
 constexpr double IdleServerBonus = 10;
 constexpr double CostJitter = 0.05;
 constexpr double MaxSlowness = 3;
@@ -66,6 +74,29 @@
     return request.idempotent ? RelaxedThreshold : SuspicionThreshold;
 }
 
+double failureCostWeight(const SlotRequest &request)
+{
+    return request.idempotent ? FailureCostWeight : NonIdempotentFailureCostWeight;
+}
+
+const std::string &servingZone(const SlotRequest &request)
+{
+    return request.servingZone.empty() ? request.zone : request.servingZone;
+}
+
+double newConnectionCost(const SlotRequest &request)
+{
+    return request.idempotent ? NewConnectionCost : NonIdempotentNewConnectionCost;
+}
+
+// An open connection alone is no reason to leave the zone.
+double leavingCost(const SlotRequest &request)
+{
+    const double cost = LeavingLoad + failureCostWeight(request) * LeavingFailureProbability
+        + newConnectionCost(request);
+    return request.largeBody ? LargeBodyLeavingFactor * cost : cost;
+}
+
 } // namespace
 
 bool Scheduler::isInService(const ServerState &server) const
@@ -103,23 +134,27 @@
 {
     // Includes half of the load that the request itself adds.
     double cost = (server.inFlightCount() + 0.5) / std::max<std::uint32_t>(server.info.slots, 1);
-    cost += (request.idempotent ? FailureCostWeight : NonIdempotentFailureCostWeight)
-        * server.health.failureProbability(now);
+    cost += failureCostWeight(request) * server.health.failureProbability(now);
     const double slowness = std::clamp(server.health.slowness(), MinSlowness, MaxSlowness);
     cost += SlownessCostWeight * (slowness - 1);
     cost += ShedCostWeight * server.health.shedShare();
-    if (server.info.zone != request.zone) {
-        cost += request.largeBody ? OtherZoneCostForLargeBody : OtherZoneCost;
+    const Duration idleTime = now - server.lastGrantAt;
+    const bool inServingZone = server.info.zone == servingZone(request);
+    if (!inServingZone) {
+        cost += leavingCost(request);
     }
-    if (server.connectedInSelection != lastSelection_) {
-        cost += request.idempotent ? NewConnectionCost : NonIdempotentNewConnectionCost;
+    const bool connected = server.connectedInSelection == lastSelection_;
+    if (!connected) {
+        cost += newConnectionCost(request);
     }
-    const Duration idleTime = now - server.lastGrantAt;
-    if (request.idempotent) {
+    if (request.idempotent && inServingZone) {
         const double idleSeconds = std::chrono::duration<double>(idleTime).count();
         cost -= ExplorationBonusPerSecond * std::min(idleSeconds, MaxExplorationSeconds);
     }
-    if (idleTime > (request.idempotent ? IdleThreshold : NonIdempotentIdleThreshold)) {
+    const Duration threshold = (request.idempotent ? IdleThreshold : NonIdempotentIdleThreshold)
+        + (inServingZone ? Milliseconds(0) : OtherZoneIdleDelay)
+        - (connected ? ConnectedIdleAdvance : Milliseconds(0));
+    if (idleTime > threshold) {
         cost -= IdleServerBonus;
     }
     return cost;
@@ -205,6 +240,7 @@
     grantedSlot.service = request.service;
     grantedSlot.serverId = server.info.id;
     grantedSlot.vm = request.key.vm;
+    grantedSlot.vmZone = request.zone;
     grantedSlot.route = request.route;
     grantedSlot.team = request.team;
     grantedSlot.fingerprint = request.fingerprint;
@@ -217,4 +253,46 @@
                                   server.info.startTimeMs });
 }
 
+void Scheduler::updateZoneShares(Instant now, ServiceState &service)
+{
+    if (!service.zoneBalancer.isUpdateDue(now)) {
+        return;
+    }
+    std::map<std::string, internal::ZoneRoom> rooms;
+    for (const auto &[id, server] : service.servers) {
+        const bool usable = isInService(*server) && !server->isWarmingUp(now)
+            && server->health.failureProbability(now) < SuspicionThreshold;
+        if (usable) {
+            internal::ZoneRoom &room = rooms[server->info.zone];
+            const double slots = server->info.slots;
+            const double slowness = std::clamp(server->health.slowness(), MinSlowness, MaxSlowness);
+            room.slowness = (room.slowness * room.slots + slowness * slots) / (room.slots + slots);
+            room.slots += slots;
+        }
+    }
+    service.zoneBalancer.update(now, rooms, internal::toDuration(service.microsecondsPerRequest));
+}
+
+void Scheduler::recordZoneLatency(ServiceState &service, const GrantedSlot &slot, Duration latency)
+{
+    const auto server = servers_.find(slot.serverId);
+    if (server == servers_.end()) {
+        return;
+    }
+    const double usual = typicalLatency(slot.route) * server->second->health.slowness();
+    service.zoneBalancer.recordLatency(slot.vmZone, server->second->info.zone,
+                                       latency - internal::toDuration(usual));
+}
+
+std::vector<ZoneShare> Scheduler::zoneShares() const
+{
+    std::vector<ZoneShare> shares;
+    for (const auto &[name, service] : services_) {
+        for (const auto &[zones, share] : service->zoneBalancer.shares()) {
+            shares.push_back({ name, zones.first, zones.second, share });
+        }
+    }
+    return shares;
+}
+
 } // namespace daisyhaven::scheduler
--- a/src/scheduler/slotresults.cpp
+++ b/src/scheduler/slotresults.cpp
@@ -165,6 +165,7 @@
         updateSuspicion(now, server, outcomeName(outcome));
     }
     if (outcome == Outcome::Success) {
+        recordZoneLatency(service, grantedSlot, latency);
         updateTypicalLatency(grantedSlot.route, latency);
     }
     grantWaitingRequests(now, service);
