Scheduler: the retries of two leaders in one window stay within the budget

Cause, by reading and by the times of the window (10.1 to 20.1 s; a leader is killed at 17.7 s): a leader may send all the retries of its window at the window's end, here once the servers reject most requests at 13 s. The next leader starts without slack, but sends its ratio of its own first attempts in the same window. Change: beside the window, a store of retries, filled by first attempts and time up to the slack, limits what can be sent in a shorter time. Test: retrybudget_test, HoldsAcrossAChangeOfTheLeader.

--- a/src/scheduler/internal/state.h
+++ b/src/scheduler/internal/state.h
@@ -8,28 +8,37 @@
 #include "scheduler/internal/waitingqueue.h"
 #include "scheduler/scheduler.h"
 
+#include <algorithm>
 #include <cmath>
 #include <deque>
 
 namespace daisyhaven::scheduler::internal {
 
-// Counts first attempts and retries of one service in a sliding window. Hedged sends are retries
-// that may use only a part of the budget.
+// Counts first attempts and retries of one service in a sliding window.
+//
+// A store of retries, filled by first attempts and by time, limits shorter times as well: otherwise
+// a leader could send all retries of its window at its end, and the next leader those of its own.
 class RetryBudget
 {
 public:
     // Starts with the slack used up at `startedAt`, since the previous leader may have spent it
     // just before.
     RetryBudget(const Limits &limits, Instant startedAt)
-        : retries_(static_cast<std::size_t>(std::ceil(limits.retrySlack)), startedAt)
+        : retries_(static_cast<std::size_t>(std::ceil(limits.retrySlack)), startedAt),
+          stored_(limits.retrySlack), storedAt_(startedAt)
     {
     }
     void recordFirstAttempt(Instant now, const Limits &limits)
     {
         firstAttempts_.push_back(now);
+        stored_ = std::min(stored_ + limits.retryRatio, limits.retrySlack);
         dropBefore(firstAttempts_, now - limits.retryWindow);
     }
-    void recordRetry(Instant now) { retries_.push_back(now); }
+    void recordRetry(Instant now)
+    {
+        retries_.push_back(now);
+        stored_ -= 1;
+    }
     // A retry that waits for a slot may be sent at any moment, so it takes its part of the budget
     // while it waits.
     void addWaitingRetry() { ++waitingRetries_; }
@@ -37,13 +46,10 @@
 
     bool allowsRetry(Instant now, const Limits &limits)
     {
-        return dropExpiredAndCount(now, limits) + 1 <= maxRetries(limits);
-    }
-    bool allowsHedge(Instant now, const Limits &limits)
-    {
-        return dropExpiredAndCount(now, limits) + 1 <= maxRetries(limits) * MaxHedgeFraction;
+        addStored(now, limits);
+        return dropExpiredAndCount(now, limits) + 1 <= maxRetries(limits)
+            && stored_ - static_cast<double>(waitingRetries_) >= 1;
     }
-
     // Returns whether probing every suspected server could use up the remaining retries.
     bool isNearlySpent(Instant now, const Limits &limits)
     {
@@ -53,9 +59,17 @@
 private:
     // Retries that probes leave to requests that fail unexpectedly.
     static constexpr double ReservedForFailures = 10;
-    // Hedges stop at this fraction of the budget: the rest is left to requests that have failed,
-    // which have no other send that may still succeed.
-    static constexpr double MaxHedgeFraction = 0.6;
+    // Part of the slack that time adds to the store in each window.
+    static constexpr double StoredPerWindow = 0.5;
+
+    void addStored(Instant now, const Limits &limits)
+    {
+        const double windows = std::chrono::duration<double>(std::max(now - storedAt_, Duration(0)))
+            / std::chrono::duration<double>(limits.retryWindow);
+        stored_ =
+            std::min(stored_ + limits.retrySlack * StoredPerWindow * windows, limits.retrySlack);
+        storedAt_ = std::max(storedAt_, now);
+    }
 
     double dropExpiredAndCount(Instant now, const Limits &limits)
     {
@@ -79,6 +93,8 @@
     std::deque<Instant> firstAttempts_;
     std::deque<Instant> retries_;
     std::size_t waitingRetries_ = 0;
+    double stored_;
+    Instant storedAt_;
 };
 
 struct ServerState
--- a/src/scheduler/retrybudget_test.cpp
+++ b/src/scheduler/retrybudget_test.cpp
@@ -104,13 +104,52 @@
     EXPECT_LE(sentRetries_, GetParam().maxSent);
 }
 
-// The budget is 0.2 x 20 first attempts + 10.
+// The budget is 0.2 x 20 first attempts + 10, of which 10 can be sent at once.
 INSTANTIATE_TEST_SUITE_P(Loads, WaitingRetries,
                          ::testing::Values(WaitingRetriesCase { "fewWait", 5, false, 10, 10 },
-                                           WaitingRetriesCase { "hundredWait", 100, false, 14, 14 },
-                                           WaitingRetriesCase { "hundredLeave", 100, true, 14,
+                                           WaitingRetriesCase { "hundredWait", 100, false, 10, 14 },
+                                           WaitingRetriesCase { "hundredLeave", 100, true, 10,
                                                                 14 }),
                          [](const auto &info) { return std::string(info.param.name); });
 
+// Load: the servers reject most requests shortly before one leader follows another.
+TEST(RetryBudget, HoldsAcrossAChangeOfTheLeader)
+{
+    constexpr int FirstAttemptsPerSecond = 100;
+    Limits limits;
+    limits.retryRatio = 0.2;
+    limits.retrySlack = 10;
+    int firstAttempts = 0;
+    int retries = 0;
+    const auto lead = [&](SimulatedFleet &fleet, Milliseconds length, int retriesPerFirst) {
+        const Instant end = fleet.now + length;
+        while (fleet.now < end) {
+            fleet.advance(Milliseconds(1000 / FirstAttemptsPerSecond));
+            for (int i = 0; i <= retriesPerFirst; ++i) {
+                SlotRequest request = fleet.makeRequest();
+                request.isRetry = i > 0;
+                request.hasRateToken = i > 0;
+                for (const Grant &grant : fleet.requestSlot(request).grants) {
+                    ++(request.isRetry ? retries : firstAttempts);
+                    fleet.scheduler.releaseSlot(fleet.now, grant.slotId, Outcome::Shed,
+                                                Milliseconds(1));
+                    fleet.advance(Milliseconds(0));
+                }
+            }
+        }
+    };
+    // Together as long as the window of the budget.
+    SimulatedFleet first(limits);
+    first.addServers(400, SlotsPerServer);
+    lead(first, Milliseconds(7000), 0);
+    lead(first, Milliseconds(1000), 3);
+    SimulatedFleet second(limits);
+    second.scheduler.tick(second.now);
+    second.addServers(400, SlotsPerServer);
+    lead(second, Milliseconds(2000), 3);
+    EXPECT_LE(retries, limits.retryRatio * firstAttempts + limits.retrySlack);
+    EXPECT_GE(retries, 40);
+}
+
 } // namespace
 } // namespace daisyhaven::scheduler
