--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -1,8 +1,12 @@
 #include "coordination/coordination.h"
+#include "coordination/internal/announcementchecks.h"
 #include "coordination/internal/completeviewcache.h"
+#include "coordination/internal/controllog.h"
 #include "coordination/internal/documenthistory.h"
 #include "coordination/internal/durablestate.h"
+#include "coordination/internal/leaderhandover.h"
 #include "coordination/internal/membershipcontroller.h"
+#include "coordination/internal/rolloutcoordinator.h"
 #include "coordination/internal/viewchangelog.h"
 #include "coordination/internal/viewcodec.h"
 #include "coordination/internal/vmregistry.h"
@@ -10,7 +14,6 @@
 #include "text/text.h"
 
 #include <algorithm>
-#include <filesystem>
 #include <list>
 #include <random>
 
@@ -44,30 +47,9 @@
 // A server that has sent no announcement for this long is removed.
 constexpr Seconds ServerRetention { 30 };
 
-// Returns the initial members. The initial ID of a replica is derived from its address,
-// which the other initial members know.
-consensus::Members initialMembers(const std::vector<peer::Address> &seeds)
+std::uint64_t wallClockMs()
 {
-    consensus::Members members;
-    for (const peer::Address &seed : seeds) {
-        members.push_back(
-            { seed.toString(), replication::initialMemberId(seed.toString()), seed.toString() });
-    }
-    return members;
-}
-
-Result<std::unique_ptr<replication::DiskLog>> openLog(const ControlOptions &options)
-{
-    const bool isSeed = std::find(options.seeds.begin(), options.seeds.end(), options.ownAddress)
-        != options.seeds.end();
-    std::error_code unreadable; // an unreadable folder is reported when the log is opened
-    const bool empty = !std::filesystem::exists(options.dataFolder + "/identity", unreadable);
-    if (options.bootstrap && isSeed && empty) {
-        BOOST_LEAF_CHECK(
-            replication::DiskLog::initialize(options.dataFolder, options.ownAddress.toString()));
-    }
-    return replication::DiskLog::open(options.dataFolder, options.ownAddress.toString(),
-                                      initialMembers(options.seeds), options.write);
+    return static_cast<std::uint64_t>(wallClockMicroseconds() / 1000);
 }
 
 } // namespace
@@ -85,7 +67,15 @@
           membership_(options_.groupSize),
           leaderClient_(timers, clients,
                         { options_.vm, incarnation_, options_.seeds, options_.ownAddress, nullptr },
-                        {})
+                        {}),
+          rollouts_(
+              options_.exposureLimits, state_,
+              [this](const rollout::Rollout &rollout, const ChangeCallback &done) {
+                  wire::CoordinationCommand command;
+                  *command.mutable_rollout() = toWire(rollout);
+                  propose(std::move(command), done);
+              },
+              &wallClockMs)
     {
     }
 
@@ -154,6 +144,28 @@
         propose(std::move(command), done);
     }
 
+    void orderRollout(const RolloutOrder &order, const ChangeCallback &done)
+    {
+        if (!isLeading()) {
+            done(leaderRedirect());
+            return;
+        }
+        rollouts_.order(order, routingTable_.get(), directory_, done);
+    }
+
+    std::variant<rollout::Rollout, LeaderRedirect, Failure>
+    readRollout(const std::string &service) const
+    {
+        if (!isLeading()) {
+            return leaderRedirect();
+        }
+        const auto rollout = state_.rollouts().find(service);
+        if (rollout == state_.rollouts().end()) {
+            return Failure { ResultCode::RolloutUnknown, service };
+        }
+        return rollout->second;
+    }
+
     void handleAnnouncement(const directory::Announcement &announcement, const ChangeCallback &done)
     {
         if (refuseInvalid([&] { return directory::checkAnnouncement(announcement); }, done)) {
@@ -163,7 +175,9 @@
             done(leaderRedirect());
             return;
         }
-        if (refuseInvalid([&] { return checkReplacedServers(announcement); }, done)) {
+        if (refuseInvalid(
+                [&] { return checkReplacedServers(routingTable_.get(), directory_, announcement); },
+                done)) {
             return;
         }
         const auto effect = directory_.announce(
@@ -197,15 +211,14 @@
         const directory::ServerEntry *entry = directory_.find(id);
         // If the server is unknown, the deregistration covers every process of it started until
         // now.
-        const auto wallClockMs = static_cast<std::uint64_t>(wallClockMicroseconds() / 1000);
         const std::uint64_t startTimeMs =
-            entry == nullptr ? wallClockMs : entry->announcement.startTimeMs;
+            entry == nullptr ? wallClockMs() : entry->announcement.startTimeMs;
         proposeDeregistration({ id, startTimeMs, true }, done);
     }
 
     std::map<std::string, double> metrics() const
     {
-        return {
+        std::map<std::string, double> values = {
             { "daisyhaven_leads", isLeading() ? 1 : 0 },
             { "daisyhaven_term", static_cast<double>(runner_.replica().term()) },
             { "daisyhaven_configuration_version", static_cast<double>(state_.version()) },
@@ -221,6 +234,8 @@
             { "daisyhaven_slots_granted",
               scheduler_ ? static_cast<double>(scheduler_->grantedSlotCount()) : 0 },
         };
+        values.merge(rollouts_.metrics(timers_.now()));
+        return values;
     }
 
 private:
@@ -255,30 +270,6 @@
         return failure != nullptr;
     }
 
-    // An announcement of a service that the configuration does not name must not replace a server
-    // of one that it names, by its id or its address.
-    Result<void> checkReplacedServers(const directory::Announcement &announcement) const
-    {
-        if (isServiceConfigured(announcement.service)) {
-            return {};
-        }
-        for (const directory::ServerEntry *replaced :
-             { directory_.find(announcement.id), directory_.findByAddress(announcement.address) }) {
-            if (replaced != nullptr && isServiceConfigured(replaced->announcement.service)) {
-                return fail(ResultCode::AnnouncementInvalid,
-                            announcement.id + ": unknown service " + announcement.service
-                                + " in place of server " + replaced->announcement.id);
-            }
-        }
-        return {};
-    }
-
-    // Without a configuration every service counts as configured.
-    bool isServiceConfigured(const std::string &service) const
-    {
-        return routingTable_ == nullptr || routingTable_->findService(service) != nullptr;
-    }
-
     bool isLeading() const { return scheduler_ != nullptr && runner_.canServeReads(); }
 
     LeaderRedirect leaderRedirect() const
@@ -383,6 +374,10 @@
             scheduler_->setZonesOutOfService(now, state_.zonesOutOfService());
             scheduleViewUpdate();
             break;
+        case DurableState::Change::Rollouts:
+            rollouts_.applyChange(now, command.rollout().service());
+            scheduleViewUpdate();
+            break;
         case DurableState::Change::Deregistrations:
             applyDeregistration({ command.departure().id(), command.departure().born(),
                                   command.departure().gone() });
@@ -432,6 +427,7 @@
         applyRoutingTable(
             { BurstFractionAfterFailover, runner_.replica().leaderlessTimeBeforeElection() });
         scheduler_->setZonesOutOfService(now, state_.zonesOutOfService());
+        rollouts_.startLeading(now, *scheduler_);
         rebuildDirectory(now);
         leaderClient_.setActive(false);
         for (const auto &[id, entry] : directory_.entries()) {
@@ -445,20 +441,13 @@
                    { "version", state_.version() } });
     }
 
-    // Rebuilds the directory from the log and the last leader's view, unless this replica was the
-    // last leader.
+    // Unless this replica was the last leader, the directory comes from the log and from the view.
     void rebuildDirectory(Instant now)
     {
         const FleetView &view = leaderClient_.view();
         if (view.epoch > lastLedEpoch_ || directory_.entries().empty()) {
-            directory_ = directory::Directory();
-            for (const auto &[id, server] : state_.servers()) {
-                directory_.restore(now, toAnnouncement(now, fromWire(now, server)));
-            }
-            for (const auto &[id, server] : view.servers) {
-                directory_.restore(now, toAnnouncement(now, server));
-            }
-            inheritFindings(now, view);
+            directory_ = restoreDirectory(now, state_, view);
+            inheritFindings(now, view, directory_, scheduler_.get());
         }
         for (const directory::Deregistration &deregistration : state_.deregistrations()) {
             directory_.deregister(deregistration, nullptr);
@@ -466,28 +455,9 @@
         lastLedEpoch_ = runner_.replica().term();
     }
 
-    // Takes over the suspicions and the request limits that the previous leader knew, so that no
-    // further requests have to fail, or exceed a limit, before they are known again.
-    void inheritFindings(Instant now, const FleetView &view)
-    {
-        for (const auto &[id, server] : view.servers) {
-            const directory::ServerEntry *entry = directory_.find(id);
-            const bool hasFinding = server.suspected || server.requestsPerSecond > 0;
-            if (!hasFinding || entry == nullptr) {
-                continue;
-            }
-            scheduler_->addOrUpdateServer(now, toKnownServer(*entry, false).info);
-            if (entry->announcement.startTimeMs == server.info.startTimeMs) {
-                scheduler_->restoreRequestLimit(now, id, server.requestsPerSecond);
-            }
-            if (server.suspected) {
-                scheduler_->restoreSuspicion(now, id);
-            }
-        }
-    }
-
     void stopLeading()
     {
+        rollouts_.stopLeading();
         scheduler_.reset();
         serversToPersist_.clear();
         leaderClient_.setActive(true);
@@ -548,6 +518,7 @@
         entryVms_.removeExpired(
             now, [&](const std::string &vm) { scheduler_->setExternalSlots(now, vm, {}); });
         scheduler_->setUnreachableVmShare(now, entryVms_.unreachableShare(now));
+        rollouts_.tick(now);
         persistChangedServers(now);
         executeActions();
         if (serversChanged_ && now - serversPublishedAt_ >= ServerPublishPeriod) {
@@ -588,6 +559,7 @@
                        { "service", entry->announcement.service },
                        { "address", entry->announcement.address },
                        { "zone", entry->announcement.zone },
+                       { "version", entry->announcement.version },
                        { "draining", entry->announcement.draining ? "yes" : "no" },
                        { "coldMs", entry->announcement.coldStartRemaining.count() / 1000 },
                        { "born", entry->announcement.startTimeMs },
@@ -684,6 +656,7 @@
                                   request.relayed(),
                                   { request.request_relay_address(), request.availability_zone() },
                                   request.disconnected() });
+        rollouts_.recordViewIndex(now, request.vm(), request.document_index());
         for (const wire::TeamSpending &spent : request.spent()) {
             scheduler_->recordExternalAdmissions(now, spent.team(), spent.count());
         }
@@ -940,6 +913,11 @@
         viewChanges_.recordChange(change.serverId);
     }
 
+    void execute(const scheduler::VersionResult &result)
+    {
+        rollouts_.recordResult(timers_.now(), result);
+    }
+
     // Confirms the departure to all VMs as if the server had announced it.
     void execute(const scheduler::LeavingServer &leaving)
     {
@@ -1006,6 +984,7 @@
     replication::ReplicaRunner runner_;
     MembershipController membership_;
     LeaderClient leaderClient_;
+    RolloutCoordinator rollouts_;
     directory::Directory directory_;
     ViewChangeLog viewChanges_;
     std::unique_ptr<scheduler::Scheduler> scheduler_;
@@ -1074,6 +1053,17 @@
     impl_->setZoneOutOfService(zone, outOfService, done);
 }
 
+void ControlTask::orderRollout(const RolloutOrder &order, const ChangeCallback &done)
+{
+    impl_->orderRollout(order, done);
+}
+
+std::variant<rollout::Rollout, LeaderRedirect, Failure>
+ControlTask::readRollout(const std::string &service) const
+{
+    return impl_->readRollout(service);
+}
+
 void ControlTask::handleAnnouncement(const directory::Announcement &announcement,
                                      const ChangeCallback &done)
 {
--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -1,7 +1,7 @@
 // Coordination of a fleet by the leader of the control group.
 //
-// ControlTask runs on control VMs. It stores the configuration, the zones out of service and the
-// deregistered servers in the replicated log. While its replica leads, it also
+// ControlTask runs on control VMs. It stores the configuration, the zones out of service, the
+// deregistered servers and the roll-outs in the replicated log. While its replica leads, it also
 // maintains the directory of backend servers and the Scheduler, and sends changes to all VMs. A
 // change is confirmed only after its log entry is committed, and only by a leader that a majority
 // has acknowledged within its lease.
@@ -20,6 +20,7 @@
 #include "directory/directory.h"
 #include "peer/peer.h"
 #include "replication/replication.h"
+#include "rollout/rollout.h"
 #include "routing/routing.h"
 #include "scheduler/scheduler.h"
 #include "timer/timer.h"
@@ -56,11 +57,17 @@
     std::uint64_t configurationVersion = 0;
     std::shared_ptr<const routing::RoutingTable> routingTable;
     std::set<std::string> zonesOutOfService;
+    // The newest roll-out of each service that had one.
+    std::map<std::string, rollout::Rollout> rollouts;
     std::size_t entryVmCount = 1;
     // Teams that requested most of their rates as of the last message from the leader.
     std::set<std::string> busyTeams;
 };
 
+// Returns the servers of the service that a VM without a leader must not use because of their
+// version.
+std::set<std::string> serversBlockedByRollout(const FleetView &view, const std::string &service);
+
 // An entry VM through which another one can send requests to backend servers.
 struct RequestRelay
 {
@@ -177,6 +184,7 @@
     // Number of members of the control group when no member is lost.
     std::size_t groupSize = 5;
     scheduler::Limits limits;
+    rollout::ExposureLimits exposureLimits;
     routing::DocumentParser documentParser = nullptr;
     // Function with which the replicated log writes to its files; write(2) if empty.
     replication::WriteFunction write = nullptr;
@@ -202,6 +210,14 @@
     std::string document;
 };
 
+// An order to move a service over to another version of its servers.
+struct RolloutOrder
+{
+    std::string service;
+    std::string targetVersion;
+    Duration duration { 0 };
+};
+
 class ControlTask
 {
 public:
@@ -228,6 +244,14 @@
     // Failures: UnknownAvailabilityZone if `zone` is not a name.
     void setZoneOutOfService(const std::string &zone, bool outOfService,
                              const ChangeCallback &done);
+    // Commits a roll-out. An order that is in progress already, or that has completed or was rolled
+    // back before its time ended, is confirmed and changes nothing. Failures: RolloutInvalid,
+    // RolloutInProgress if the service moves over to another version.
+    void orderRollout(const RolloutOrder &order, const ChangeCallback &done);
+    // Returns the newest roll-out of the service if this replica is the leader and can serve reads.
+    // Failures: RolloutUnknown.
+    std::variant<rollout::Rollout, LeaderRedirect, Failure>
+    readRollout(const std::string &service) const;
     // Failures: AnnouncementInvalid.
     void handleAnnouncement(const directory::Announcement &announcement,
                             const ChangeCallback &done);
--- a/src/coordination/durablestate.cpp
+++ b/src/coordination/durablestate.cpp
@@ -56,9 +56,28 @@
         }
         return Change::Servers;
     }
+    if (command.has_rollout()) {
+        return recordRollout(index, command.rollout());
+    }
     return Change::None;
 }
 
+// Of two orders or verdicts that race, the first in the log holds.
+DurableState::Change DurableState::recordRollout(std::uint64_t index, const wire::Rollout &message)
+{
+    if (!isReadable(message)) {
+        return Change::None;
+    }
+    rollout::Rollout next = fromWire(message);
+    const auto current = rollouts_.find(next.service);
+    if (!rollout::isValidSuccessor(current == rollouts_.end() ? nullptr : &current->second, next)) {
+        return Change::None;
+    }
+    rollouts_[next.service] = std::move(next);
+    lastChangeIndex_ = index;
+    return Change::Rollouts;
+}
+
 void DurableState::recordServer(const wire::FleetServer &server)
 {
     if (isReadable(server)) {
@@ -102,6 +121,9 @@
     for (const std::string &zone : zonesOutOfService_) {
         state.add_zones_out(zone);
     }
+    for (const auto &[service, rollout] : rollouts_) {
+        *state.add_rollouts() = coordination::toWire(rollout);
+    }
     return state;
 }
 
@@ -140,6 +162,12 @@
     for (const wire::FleetServer &server : state.servers()) {
         recordServer(server);
     }
+    rollouts_.clear();
+    for (const wire::Rollout &message : state.rollouts()) {
+        if (isReadable(message)) {
+            rollouts_[message.service()] = fromWire(message);
+        }
+    }
     deregistrations_.clear();
     for (const wire::Departure &deregistration : state.departures()) {
         if (isReadableName(deregistration.id())) {
--- a/src/coordination/internal/durablestate.h
+++ b/src/coordination/internal/durablestate.h
@@ -1,12 +1,14 @@
 // State machine of the replicated log: the newest configuration document, the zones out of service,
-// the deregistered servers and the known servers. The known servers are stored so
-// that a fleet that lost power serves requests before every server has announced itself again.
-// Applying a command is deterministic. Items whose names cannot be read are left out.
+// the deregistered servers, the newest roll-out of each service and the known servers. The known
+// servers are stored so that a fleet that lost power serves requests before every server has
+// announced itself again. Applying a command is deterministic. Items whose names cannot be read are
+// left out.
 #pragma once
 
 #include "directory/directory.h"
 #include "peer/generated/peer.pb.h"
 #include "result/result.h"
+#include "rollout/rollout.h"
 
 #include <deque>
 #include <map>
@@ -19,14 +21,14 @@
 {
 public:
     // The part of the state that a command changed.
-    enum class Change : std::uint8_t { None, Document, Zones, Deregistrations, Servers };
+    enum class Change : std::uint8_t { None, Document, Zones, Deregistrations, Servers, Rollouts };
 
     Change apply(std::uint64_t index, const wire::CoordinationCommand &command);
     std::string toSnapshot() const { return toWire().SerializeAsString(); }
     // An empty snapshot is the state before the first command. Errors: RecordDamaged.
     Result<void> restore(const std::string &snapshot);
-    // Returns the version, the zones out of service and, if `withDocument`, the document: the part
-    // of the state that all VMs need.
+    // Returns the version, the zones out of service, the roll-outs and, if `withDocument`, the
+    // document: the part of the state that all VMs need.
     wire::CoordinationState toViewState(bool withDocument) const;
 
     std::uint64_t version() const { return version_; }
@@ -37,12 +39,15 @@
         return deregistrations_;
     }
     const std::map<std::string, wire::FleetServer> &servers() const { return servers_; }
-    // Index of the log entry that last changed the document or the zones.
+    // The newest roll-out of each service that had one.
+    const std::map<std::string, rollout::Rollout> &rollouts() const { return rollouts_; }
+    // Index of the log entry that last changed the document, the zones or the roll-outs.
     std::uint64_t lastChangeIndex() const { return lastChangeIndex_; }
 
 private:
     wire::CoordinationState toWire() const;
     void recordServer(const wire::FleetServer &server);
+    Change recordRollout(std::uint64_t index, const wire::Rollout &message);
     void recordDeregistration(directory::Deregistration deregistration);
 
     std::uint64_t version_ = 0;
@@ -50,6 +55,7 @@
     std::set<std::string> zonesOutOfService_;
     std::deque<directory::Deregistration> deregistrations_;
     std::map<std::string, wire::FleetServer> servers_;
+    std::map<std::string, rollout::Rollout> rollouts_;
     std::uint64_t lastChangeIndex_ = 0;
 };
 
--- a/src/coordination/internal/viewcodec.h
+++ b/src/coordination/internal/viewcodec.h
@@ -4,6 +4,7 @@
 
 #include "directory/directory.h"
 #include "peer/generated/peer.pb.h"
+#include "rollout/rollout.h"
 #include "scheduler/scheduler.h"
 
 #include <string>
@@ -15,7 +16,10 @@
 bool isReadableName(const std::string &name);
 // Returns whether all names in the message can be used. Logs one that cannot.
 bool isReadable(const wire::FleetServer &message);
+bool isReadable(const wire::Rollout &message);
 
+wire::Rollout toWire(const rollout::Rollout &rollout);
+rollout::Rollout fromWire(const wire::Rollout &message);
 wire::FleetServer toWire(Instant now, const scheduler::KnownServer &server);
 scheduler::KnownServer fromWire(Instant now, const wire::FleetServer &message);
 scheduler::KnownServer toKnownServer(const directory::ServerEntry &entry, bool suspected);
--- a/src/coordination/leaderclient.cpp
+++ b/src/coordination/leaderclient.cpp
@@ -434,6 +434,12 @@
                 view_.zonesOutOfService.insert(zone);
             }
         }
+        view_.rollouts.clear();
+        for (const wire::Rollout &rollout : state.rollouts()) {
+            if (isReadable(rollout)) {
+                view_.rollouts[rollout.service()] = fromWire(rollout);
+            }
+        }
         notifyConfigurationChanged();
         documentSource_ = address;
         if (!state.document().empty() && state.version() > view_.configurationVersion) {
@@ -486,6 +492,23 @@
     TimerHandle maintenance_;
 };
 
+std::set<std::string> serversBlockedByRollout(const FleetView &view, const std::string &service)
+{
+    std::set<std::string> blocked;
+    const auto rollout = view.rollouts.find(service);
+    if (rollout == view.rollouts.end()) {
+        return blocked;
+    }
+    for (const auto &[id, server] : view.servers) {
+        const bool mayReceive =
+            rollout::mayReceiveWithoutLeader(rollout->second, server.info.version);
+        if (server.info.service == service && !mayReceive) {
+            blocked.insert(id);
+        }
+    }
+    return blocked;
+}
+
 LeaderClient::LeaderClient(TimerService &timers, peer::ClientPool &clients,
                            LeaderClientOptions options, LeaderClientCallbacks callbacks)
     : impl_(std::make_unique<Impl>(timers, clients, std::move(options), std::move(callbacks)))
--- a/src/coordination/viewcodec.cpp
+++ b/src/coordination/viewcodec.cpp
@@ -30,13 +30,51 @@
 {
     const bool readable = !message.id().empty() && isPlainText(message.id())
         && isPlainText(message.service()) && isPlainText(message.address())
-        && isPlainText(message.availability_zone());
+        && isPlainText(message.availability_zone()) && isPlainText(message.version());
     if (!readable) {
         logEvent(Event::UnreadableItemIgnored, { { "item", message.id() } });
     }
     return readable;
 }
 
+bool isReadable(const wire::Rollout &message)
+{
+    const auto isPlain = [](const std::string &version) { return isPlainText(version); };
+    const bool readable = !message.service().empty() && isPlainText(message.service())
+        && !message.target_version().empty() && isPlainText(message.target_version())
+        && std::all_of(message.replaced_versions().begin(), message.replaced_versions().end(),
+                       isPlain)
+        && message.phase() <= static_cast<std::uint32_t>(rollout::LastPhase);
+    if (!readable) {
+        logEvent(Event::UnreadableItemIgnored, { { "item", message.service() } });
+    }
+    return readable;
+}
+
+wire::Rollout toWire(const rollout::Rollout &rollout)
+{
+    wire::Rollout message;
+    message.set_service(rollout.service);
+    message.set_target_version(rollout.targetVersion);
+    for (const std::string &version : rollout.replacedVersions) {
+        message.add_replaced_versions(version);
+    }
+    message.set_ordered_ms(rollout.orderedAtMs);
+    message.set_duration_ms(rollout.durationMs);
+    message.set_phase(static_cast<std::uint32_t>(rollout.phase));
+    return message;
+}
+
+rollout::Rollout fromWire(const wire::Rollout &message)
+{
+    return { message.service(),
+             message.target_version(),
+             { message.replaced_versions().begin(), message.replaced_versions().end() },
+             message.ordered_ms(),
+             message.duration_ms(),
+             static_cast<rollout::Phase>(message.phase()) };
+}
+
 wire::FleetServer toWire(Instant now, const scheduler::KnownServer &server)
 {
     wire::FleetServer message;
@@ -51,6 +89,7 @@
     message.set_born(server.info.startTimeMs);
     message.set_sequence(server.announcementSequence);
     message.set_requests_per_second(server.requestsPerSecond);
+    message.set_version(server.info.version);
     return message;
 }
 
@@ -65,6 +104,7 @@
     server.info.draining = message.draining();
     server.info.coldStartUntil = now + Milliseconds(message.cold_ms());
     server.info.startTimeMs = message.born();
+    server.info.version = message.version();
     server.suspected = message.suspected();
     server.announcementSequence = message.sequence();
     server.requestsPerSecond = message.requests_per_second();
@@ -77,7 +117,8 @@
     server.info = { entry.announcement.id,      entry.announcement.service,
                     entry.announcement.address, entry.announcement.zone,
                     entry.announcement.slots,   entry.announcement.draining,
-                    entry.coldStartUntil,       entry.announcement.startTimeMs };
+                    entry.coldStartUntil,       entry.announcement.startTimeMs,
+                    entry.announcement.version };
     server.suspected = suspected;
     server.announcementSequence = entry.announcement.sequence;
     return server;
@@ -90,6 +131,7 @@
     announcement.service = server.info.service;
     announcement.address = server.info.address;
     announcement.zone = server.info.zone;
+    announcement.version = server.info.version;
     announcement.slots = server.info.slots;
     announcement.draining = server.info.draining;
     announcement.coldStartRemaining = std::max(server.info.coldStartUntil - now, Duration(0));
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -27,7 +27,8 @@
 auto significantFields(const Announcement &announcement)
 {
     return std::tie(announcement.service, announcement.address, announcement.zone,
-                    announcement.slots, announcement.draining, announcement.startTimeMs);
+                    announcement.version, announcement.slots, announcement.draining,
+                    announcement.startTimeMs);
 }
 
 } // namespace
@@ -45,6 +46,10 @@
     if (!isPlainText(announcement.zone)) {
         return fail(ResultCode::AnnouncementInvalid, announcement.id + ": zone is not plain text");
     }
+    if (!isPlainText(announcement.version)) {
+        return fail(ResultCode::AnnouncementInvalid,
+                    announcement.id + ": version is not plain text");
+    }
     if (announcement.slots == 0 || announcement.slots > MaxSlots) {
         return fail(ResultCode::AnnouncementInvalid, announcement.id + ": slots is out of range");
     }
--- a/src/directory/directory.h
+++ b/src/directory/directory.h
@@ -30,6 +30,8 @@
     std::string service;
     std::string address;
     std::string zone;
+    // Version of its software; empty if it names none.
+    std::string version;
     std::uint32_t slots = 1;
     bool draining = false;
     // Remaining time of the cold start.
--- a/src/gateway/slotclient.cpp
+++ b/src/gateway/slotclient.cpp
@@ -340,6 +340,7 @@
     request.excludedServers.merge(blockedServers(request.service));
     request.excludedServers.merge(
         limitShares_.exhaustedServers(now, lastLeaderContactAt(), request.service, view));
+    request.excludedServers.merge(coordination::serversBlockedByRollout(view, request.service));
     return chooser_.pickServer(now, leader_.timeSinceLeaderContact(), request, view.servers,
                                view.zonesOutOfService, slotsInUseByServer());
 }
--- a/src/result/result.h
+++ b/src/result/result.h
@@ -73,6 +73,9 @@
     OperationOutcomeUnknown = 409,
     NotInForce = 410,
     UnknownKey = 411,
+    RolloutInvalid = 412,
+    RolloutInProgress = 413,
+    RolloutUnknown = 414,
     // 5xx: the state of the fleet, its storage and its processes.
     ControlUnavailable = 501,
     NotLeader = 502,
--- a/src/scheduler/internal/state.h
+++ b/src/scheduler/internal/state.h
@@ -10,6 +10,7 @@
 
 #include <cmath>
 #include <deque>
+#include <optional>
 
 namespace daisyhaven::scheduler::internal {
 
@@ -68,6 +69,8 @@
     std::deque<Instant> retries_;
 };
 
+enum class VersionRole : std::uint8_t { Unaffected, Target, Replaced };
+
 struct ServerState
 {
     ServerState(ServerInfo serverInfo, Instant now)
@@ -98,6 +101,9 @@
     bool suspected = false;
     // Another server responds at this server's address.
     bool addressReassigned = false;
+    // What the service's VersionGate says of the server.
+    VersionRole versionRole = VersionRole::Unaffected;
+    bool blockedByVersion = false;
     // Number of the last selection for a request that excluded this server, and of the last one for
     // a VM that holds an idle connection to it.
     std::uint64_t excludedInSelection = 0;
@@ -119,6 +125,11 @@
 
     std::string name;
     std::map<std::string, std::unique_ptr<ServerState>> servers;
+    // Absent if no roll-out was ordered.
+    std::optional<VersionGate> versionGate;
+    // Counted since the first VersionGate.
+    std::uint64_t gatedRequests = 0;
+    std::uint64_t targetRequests = 0;
     WaitingQueue waitingQueue;
     RequestRateByPriority requestRates;
     RetryBudget retryBudget;
@@ -146,4 +157,12 @@
     Instant lastIdempotentAt;
 };
 
+// Applies the service's VersionGate to one server, or to all of them.
+void applyVersionGate(const ServiceState &service, ServerState &server);
+void applyVersionGate(ServiceState &service);
+
+// Returns how much the server is preferred to those of other versions. While the target version
+// may receive a limited number of requests it receives the next ones, so that its slots fill.
+double versionGateBonus(const ServiceState &service, const ServerState &server);
+
 } // namespace daisyhaven::scheduler::internal
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -104,6 +104,7 @@
         service.servers[info.id] = std::move(server);
     }
     ServiceState &service = getOrCreateService(info.service);
+    internal::applyVersionGate(service, *servers_.at(info.id));
     updateServerCounts(now, service);
     grantWaitingRequests(now, service);
 }
@@ -217,6 +218,7 @@
         service.retryBudget.recordFirstAttempt(now, limits_);
     }
     grantSlot(now, *server, request);
+    countForVersionGate(service, *server, request);
     return true;
 }
 
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -86,10 +86,13 @@
     Instant coldStartUntil;
     // Start time of its process in Unix milliseconds.
     std::uint64_t startTimeMs = 0;
+    // Version of its software; empty if it names none.
+    std::string version = {};
 
     auto tied() const
     {
-        return std::tie(id, service, address, zone, slots, draining, coldStartUntil, startTimeMs);
+        return std::tie(id, service, address, zone, slots, draining, coldStartUntil, startTimeMs,
+                        version);
     }
     friend bool operator==(const ServerInfo &a, const ServerInfo &b)
     {
@@ -184,7 +187,59 @@
     std::uint64_t startTimeMs = 0;
 };
 
-using Action = std::variant<Grant, Rejection, SuspicionChange, RequestLimitChange, LeavingServer>;
+// How a request ended at a server of a service whose versions are compared.
+struct VersionResult
+{
+    std::string service;
+    std::string serverId;
+    std::string route;
+    bool fromTarget = false;
+    // Nearly all of the server's slots were in use when the request was sent.
+    bool underLoad = false;
+    Outcome outcome = Outcome::Success;
+    Duration latency { 0 };
+};
+
+using Action = std::variant<Grant, Rejection, SuspicionChange, RequestLimitChange, LeavingServer,
+                            VersionResult>;
+
+// Which versions of a service receive requests during and after a roll-out. Servers of versions
+// that the gate does not name are unaffected.
+struct VersionGate
+{
+    std::string targetVersion;
+    std::set<std::string> replacedVersions;
+    // Requests that the target version may receive in all, counted from the first gate of the
+    // service; no limit if absent.
+    std::optional<std::uint64_t> maxTargetRequests = 0;
+    bool replacedVersionsServe = true;
+    // Results of the service's requests are reported as VersionResult.
+    bool reportsResults = false;
+
+    auto tied() const
+    {
+        return std::tie(targetVersion, replacedVersions, maxTargetRequests, replacedVersionsServe,
+                        reportsResults);
+    }
+    friend bool operator==(const VersionGate &a, const VersionGate &b)
+    {
+        return a.tied() == b.tied();
+    }
+};
+
+// What a service sent since its first VersionGate, and what its versions have now.
+struct VersionLoad
+{
+    // First attempts to servers of any version, and all attempts to the target version.
+    std::uint64_t requests = 0;
+    std::uint64_t targetRequests = 0;
+    // Warm, trusted servers of the target version in zones in service, and their slots.
+    std::uint32_t targetServers = 0;
+    std::uint32_t targetSlots = 0;
+    // Requests in flight at servers of the replaced versions, and at all servers.
+    std::uint32_t replacedInFlight = 0;
+    std::uint32_t inFlight = 0;
+};
 
 // Limits that hold over all VMs together.
 struct Limits
@@ -233,6 +288,9 @@
     // Sets the zones whose servers receive no requests. The servers of a zone that is no longer in
     // the set count as warming up.
     void setZonesOutOfService(Instant now, const std::set<std::string> &zones);
+    // Sets which versions of the service receive requests.
+    void setVersionGate(Instant now, const std::string &service, VersionGate gate);
+    VersionLoad versionLoad(Instant now, const std::string &service) const;
     void addOrUpdateServer(Instant now, const ServerInfo &server);
     void removeServer(const std::string &id);
     // The previous leader suspected the server, so it starts as if this leader had seen it fail.
@@ -284,6 +342,8 @@
         Instant grantedAt;
         Instant expiresAt;
         std::size_t overdueStepCount = 0;
+        // Nearly all of the server's slots were in use when the request was sent.
+        bool underLoad = false;
     };
 
     struct RouteLatency
@@ -315,6 +375,10 @@
     void reject(Instant now, const SlotRequest &request, ResultCode code, Duration retryAfter,
                 std::string reason);
     void freeSlot(std::uint64_t slotId);
+    void countForVersionGate(internal::ServiceState &service, const internal::ServerState &server,
+                             const SlotRequest &request);
+    void reportVersionResult(const internal::ServiceState &service, const GrantedSlot &slot,
+                             Outcome outcome, Duration latency);
     void recordStatement(Instant now, const GrantedSlot &slot, const ServerStatement &statement);
     void checkOverdueSlots(Instant now);
     void updateTypicalLatency(const std::string &route, Duration latency);
--- a/src/scheduler/serverselection.cpp
+++ b/src/scheduler/serverselection.cpp
@@ -51,6 +51,8 @@
 // on another server.
 constexpr Milliseconds ProbeRetryReserve { 600 };
 constexpr double ShedCostWeight = 1.0;
+// Fraction of a server's slots from which on it counts as under load.
+constexpr double HighLoad = 0.75;
 // A slot whose VM sends no release expires this long after the request's deadline.
 constexpr Milliseconds SlotExpiryGrace { 500 };
 
@@ -71,7 +73,7 @@
 bool Scheduler::isInService(const ServerState &server) const
 {
     return !server.info.draining && !server.leaving && !server.addressReassigned
-        && evacuatedZones_.count(server.info.zone) == 0;
+        && !server.blockedByVersion && evacuatedZones_.count(server.info.zone) == 0;
 }
 
 bool Scheduler::hasCapacity(Instant now, ServerState &server) const
@@ -183,7 +185,8 @@
         if (!isEligible(now, service, *server, request, hasWaitedLong)) {
             continue;
         }
-        const double serverCost = selectionCost(now, *server, request) + jitter(random_);
+        const double serverCost = selectionCost(now, *server, request) + jitter(random_)
+            - internal::versionGateBonus(service, *server);
         if (best == nullptr || serverCost < bestCost) {
             best = server.get();
             bestCost = serverCost;
@@ -211,6 +214,7 @@
     grantedSlot.key = request.key;
     grantedSlot.grantedAt = now;
     grantedSlot.expiresAt = request.deadline + SlotExpiryGrace;
+    grantedSlot.underLoad = server.inFlightCount() >= HighLoad * server.info.slots;
     grantedSlots_[slotId] = std::move(grantedSlot);
     slotIdsByKey_[request.key] = slotId;
     actions_.emplace_back(Grant { request.key, slotId, server.info.id, server.info.address,
--- a/src/scheduler/slotresults.cpp
+++ b/src/scheduler/slotresults.cpp
@@ -129,6 +129,7 @@
     } else if (outcome == Outcome::NotSent) {
         rateLimiter_->returnToken(now, grantedSlot.team);
     }
+    reportVersionResult(service, grantedSlot, outcome, latency);
     const bool lost =
         outcome != Outcome::Success && outcome != Outcome::Shed && !isInconclusive(outcome);
     if (lost) {
--- a/tests/platform/controlapi_test.cpp
+++ b/tests/platform/controlapi_test.cpp
@@ -306,6 +306,88 @@
                       UnknownServiceCase { "sameIdAndAddress", "i-1", "127.0.0.1:8080" }),
     [](const auto &info) { return std::string(info.param.name); });
 
+// ---- roll-outs ----
+
+class RolloutOrders : public ControlVm
+{
+protected:
+    RolloutOrders()
+    {
+        const char *const configuration =
+            R"({"version":"00000001","routes":{"columns":[],"rows":[]},)"
+            R"("services":{"columns":["name"],"rows":[["s1"]]}})";
+        EXPECT_EQ(call("PUT", "/configuration", configuration), 200);
+        EXPECT_EQ(announce("i-1", announcementText()), 200);
+    }
+
+    int order(const std::string &version, double seconds = 12)
+    {
+        return call("POST", "/rollouts",
+                    R"({"service":"s1","targetVersion":")" + version + R"(","durationS":)"
+                        + std::to_string(seconds) + "}");
+    }
+
+    std::string state()
+    {
+        EXPECT_EQ(call("GET", "/rollouts/s1"), 200);
+        return nlohmann::json::parse(lastBody_).at("state");
+    }
+};
+
+TEST_F(RolloutOrders, AreConfirmedAndShown)
+{
+    EXPECT_EQ(call("GET", "/rollouts/s1"), 404);
+    EXPECT_EQ(order("v2"), 200);
+    EXPECT_EQ(state(), "running");
+    EXPECT_EQ(nlohmann::json::parse(lastBody_).at("targetVersion"), "v2");
+    EXPECT_EQ(order("v2"), 200);
+    EXPECT_EQ(order("v3"), 409);
+    EXPECT_EQ(call("GET", "/rollouts/unknown"), 404);
+}
+
+// No server of the target version comes.
+TEST_F(RolloutOrders, AreRolledBackInTimeWithoutServers)
+{
+    EXPECT_EQ(order("v2", 1), 200);
+    EXPECT_TRUE(runUntil([&] { return state() == "rolled_back"; }, Seconds(2)));
+    EXPECT_EQ(order("v3"), 200);
+    EXPECT_EQ(state(), "running");
+}
+
+struct InvalidOrderCase
+{
+    const char *name;
+    const char *body;
+};
+
+class InvalidOrder : public RolloutOrders, public ::testing::WithParamInterface<InvalidOrderCase>
+{
+};
+
+TEST_P(InvalidOrder, IsRefused)
+{
+    EXPECT_EQ(call("POST", "/rollouts", GetParam().body), 400);
+    EXPECT_TRUE(nlohmann::json::accept(lastBody_)) << lastBody_;
+    EXPECT_EQ(call("GET", "/rollouts/s1"), 404);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Orders, InvalidOrder,
+    ::testing::Values(
+        InvalidOrderCase { "empty", "" }, InvalidOrderCase { "noObject", "[]" },
+        InvalidOrderCase { "noVersion", R"({"service":"s1","durationS":12})" },
+        InvalidOrderCase { "noDuration", R"({"service":"s1","targetVersion":"v2"})" },
+        InvalidOrderCase { "noService", R"({"targetVersion":"v2","durationS":12})" },
+        InvalidOrderCase { "unknownService",
+                           R"({"service":"s9","targetVersion":"v2","durationS":12})" },
+        InvalidOrderCase { "emptyVersion",
+                           R"({"service":"s1","targetVersion":"","durationS":12})" },
+        InvalidOrderCase { "noTime", R"({"service":"s1","targetVersion":"v2","durationS":0})" },
+        InvalidOrderCase { "timeAsText",
+                           R"({"service":"s1","targetVersion":"v2","durationS":"12"})" },
+        InvalidOrderCase { "bytes", "{\"service\":\"\xff\"}" }),
+    [](const auto &info) { return std::string(info.param.name); });
+
 class ReadableName : public ControlVm, public ::testing::WithParamInterface<UnreadableNameCase>
 {
 };
