Clients: one budget of memory and connections for what clients hold

Cause: nothing bounded what clients hold together. 400 bodies of 300 KB that lack a byte held 175.7 MB of an entry VM, 60 endless chunked bodies 703.5 MB of a control VM, and 700 silent connections took more sockets than a VM has.

Change: src/clientbudget decides, without I/O, who is closed when memory or connections run short and who makes no progress. http::ServerConnection reports to it on the callers', relays', ready, metrics and control addresses. Accepting pauses while a group is full; requests sent ahead wait until earlier responses are read; a complete request that has not run is refused with 503 MemoryShort. Metrics, event ClientsClosed, docs.

--- a/src/gateway/exchangeadmission.cpp
+++ b/src/gateway/exchangeadmission.cpp
@@ -26,12 +26,23 @@
     return bearer ? field->substr(BearerPrefix.size()) : "";
 }
 
+// Returns the approximate memory of a head: many short fields take far more than their text.
+std::size_t memoryOf(const http::RequestHead &head)
+{
+    std::size_t bytes = head.path.size() + head.query.size();
+    for (const http::Header &field : head.headers.fields()) {
+        bytes += sizeof(http::Header) + field.name.size() + field.value.size();
+    }
+    return bytes;
+}
+
 } // namespace
 
 Exchange::Exchange(const GatewayContext &context, http::ResponseSink *sink, http::RequestHead head,
                    RequestOrigin origin)
     : context_(context), sink_(sink), head_(std::move(head)), origin_(origin),
-      startedAt_(context.now()), deadline_(startedAt_ + DefaultDeadline)
+      headBytes_(memoryOf(head_)), startedAt_(context.now()),
+      deadline_(startedAt_ + DefaultDeadline)
 {
     const std::string *id = head_.headers.find(context_.options.headers.requestId);
     requestId_ = id == nullptr ? "" : *id;
--- a/src/gateway/exchangecompletion.cpp
+++ b/src/gateway/exchangecompletion.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr Milliseconds RetryAfterMemoryShort { 500 };
+
 // Formats seconds with three decimals: the Retry-After header of this gateway may hold fractions.
 std::string formatSeconds(Duration duration)
 {
@@ -45,6 +47,17 @@
     finish();
 }
 
+bool Exchange::refuseForMemory()
+{
+    const bool waits = stage_ == Stage::ReadingBody || stage_ == Stage::AwaitingSlot;
+    if (!waits || mayHaveRun() || responseStarted_) {
+        return false;
+    }
+    cancelSlotRequest();
+    reject(ResultCode::MemoryShort, "clients hold the memory of this VM", RetryAfterMemoryShort);
+    return true;
+}
+
 void Exchange::logOutcome(const char *what, ResultCode code, const std::string &detail) const
 {
     const auto &view = context_.leader.view();
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -36,7 +36,7 @@
     {
     }
 
-    void open(event_base *base, int socket);
+    void open(event_base *base, int socket, http::ClientAccount account);
     bool isBusy() const
     {
         return exchange_ != nullptr || callerDisconnected_ || connection_->hasPendingOutput()
@@ -111,15 +111,16 @@
     Result<void> start()
     {
         BOOST_LEAF_ASSIGN(listener_,
-                          http::Listener::open(base_, options_.listenAddress, [this](int socket) {
-                              accept(socket, RequestOrigin::Caller);
-                          }));
+                          http::Listener::open(
+                              base_, options_.listenAddress,
+                              [this](int socket) { accept(socket, RequestOrigin::Caller); },
+                              account(RequestOrigin::Caller)));
         if (options_.requestRelayAddress) {
-            BOOST_LEAF_ASSIGN(
-                relayListener_,
-                http::Listener::open(base_, *options_.requestRelayAddress, [this](int socket) {
-                    accept(socket, RequestOrigin::OtherVm);
-                }));
+            BOOST_LEAF_ASSIGN(relayListener_,
+                              http::Listener::open(
+                                  base_, *options_.requestRelayAddress,
+                                  [this](int socket) { accept(socket, RequestOrigin::OtherVm); },
+                                  account(RequestOrigin::OtherVm)));
         }
         leader_.start();
         sweep_ = timers_.runEvery(ConnectionSweepInterval, [this] { sweep(); });
@@ -165,7 +166,14 @@
         const std::uint64_t id = ++lastSession_;
         const auto session = std::make_shared<CallerSession>(*this, id, origin);
         sessions_[id] = session;
-        session->open(base_, socket);
+        session->open(base_, socket, account(origin));
+    }
+
+    http::ClientAccount account(RequestOrigin origin) const
+    {
+        const bool isCaller = origin == RequestOrigin::Caller;
+        return { options_.clientBudget,
+                 isCaller ? ClientGroup::Callers : ClientGroup::RequestRelays };
     }
 
     void sweep()
@@ -258,7 +266,7 @@
     TimerHandle shutdownTimer_;
 };
 
-void CallerSession::open(event_base *base, int socket)
+void CallerSession::open(event_base *base, int socket, http::ClientAccount account)
 {
     http::ServerConnection::Callbacks callbacks;
     callbacks.head = [this](http::RequestHead head) { startExchange(std::move(head)); };
@@ -279,7 +287,13 @@
             exchange->onSinkDrained();
         }
     };
-    connection_ = std::make_unique<http::ServerConnection>(base, socket, std::move(callbacks));
+    callbacks.refuse = [this] {
+        const auto exchange = exchange_;
+        return exchange && exchange->refuseForMemory();
+    };
+    callbacks.heldBytes = [this] { return exchange_ ? exchange_->heldBytes() : 0; };
+    connection_ =
+        std::make_unique<http::ServerConnection>(base, socket, std::move(callbacks), account);
 }
 
 void CallerSession::sendHead(int status, const http::Headers &headers, http::Framing framing,
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -70,6 +70,8 @@
     // Address at which this VM accepts requests of other VMs that reach no backend server; without
     // one it accepts none.
     std::optional<peer::Address> requestRelayAddress;
+    // Bounds what callers and other VMs hold, if set; it outlives the gateway.
+    ClientBudget *clientBudget = nullptr;
 };
 
 class Gateway
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -38,6 +38,9 @@
     void rejectUnparsed(const Failure &failure, std::function<void()> finished);
     // Tells the VM that sent the request to use another relay.
     void refuseRelayed(const std::string &reason, std::function<void()> finished);
+    // Refuses a request that no server may have executed, to free its memory. Returns false if
+    // there is no such request.
+    bool refuseForMemory();
     void onBodyData(std::string_view data);
     void onBodyEnd();
     // Handles a parse error in the rest of the caller's message.
@@ -46,6 +49,8 @@
     void onCallerDisconnected();
     // The sink accepts more response data.
     void onSinkDrained();
+    // Returns the approximate memory of the request's head and of the retained part of its body.
+    std::size_t heldBytes() const { return headBytes_ + buffer_.size(); }
 
 private:
     // Body size that is read before a slot is requested, and that is retained for a retry.
@@ -123,6 +128,7 @@
     http::ResponseSink *sink_;
     http::RequestHead head_;
     RequestOrigin origin_;
+    std::size_t headBytes_;
     std::function<void()> finished_;
     Stage stage_ = Stage::ReadingBody;
     std::string requestId_;
--- a/src/http/apiserver.cpp
+++ b/src/http/apiserver.cpp
@@ -11,9 +11,9 @@
 {
 public:
     ApiSession(TimerService &timers, std::size_t maxBodyBytes, ApiServer::Handler handler,
-               std::function<void()> closed)
+               ClientAccount account, std::function<void()> closed)
         : timers_(timers), maxBodyBytes_(maxBodyBytes), handler_(std::move(handler)),
-          closedCallback_(std::move(closed))
+          account_(account), closedCallback_(std::move(closed))
     {
     }
 
@@ -29,7 +29,9 @@
             sendResponse({ resultInfo(failure.code).httpStatus, "text/plain", failure.detail, {} });
         };
         callbacks.closed = [this] { closedCallback_(); };
-        connection_ = std::make_unique<ServerConnection>(base, socket, std::move(callbacks));
+        callbacks.heldBytes = [this] { return request_.body.size() + request_.path.size(); };
+        connection_ =
+            std::make_unique<ServerConnection>(base, socket, std::move(callbacks), account_);
     }
 
 private:
@@ -45,9 +47,11 @@
     void addBody(std::string_view data)
     {
         tooLarge_ = tooLarge_ || request_.body.size() + data.size() > maxBodyBytes_;
-        if (!tooLarge_) {
-            request_.body.append(data);
+        if (tooLarge_) {
+            request_.body = std::string();
+            return;
         }
+        request_.body.append(data);
     }
 
     // Sends the response from the event loop, so that the connection is not re-entered from its own
@@ -85,12 +89,14 @@
         }
         connection_->sendHead(response.status, headers, Framing::Length, response.body.size());
         connection_->sendBody(response.body);
+        request_ = {};
         connection_->endResponse();
     }
 
     TimerService &timers_;
     std::size_t maxBodyBytes_;
     ApiServer::Handler handler_;
+    ClientAccount account_;
     std::function<void()> closedCallback_;
     ApiRequest request_;
     bool tooLarge_ = false;
@@ -104,16 +110,19 @@
 class ApiServer::Impl
 {
 public:
-    Impl(event_base *base, TimerService &timers, std::size_t maxBodyBytes, Handler handler)
-        : base_(base), timers_(timers), maxBodyBytes_(maxBodyBytes), handler_(std::move(handler))
+    Impl(event_base *base, TimerService &timers, std::size_t maxBodyBytes, Handler handler,
+         ClientAccount account)
+        : base_(base), timers_(timers), maxBodyBytes_(maxBodyBytes), handler_(std::move(handler)),
+          account_(account)
     {
     }
 
     Result<void> listen(const peer::Address &address)
     {
-        BOOST_LEAF_ASSIGN(listener_, Listener::open(base_, address, [this](int socket) {
-                              acceptConnection(socket);
-                          }));
+        BOOST_LEAF_ASSIGN(
+            listener_,
+            Listener::open(
+                base_, address, [this](int socket) { acceptConnection(socket); }, account_));
         return {};
     }
 
@@ -122,7 +131,7 @@
     {
         const std::uint64_t id = ++lastSessionId_;
         const auto session =
-            std::make_shared<ApiSession>(timers_, maxBodyBytes_, handler_, [this, id] {
+            std::make_shared<ApiSession>(timers_, maxBodyBytes_, handler_, account_, [this, id] {
                 auto node = sessions_.extract(id);
                 if (!node.empty()) {
                     // Destroys the connection from the event loop, outside its own callbacks.
@@ -137,6 +146,7 @@
     TimerService &timers_;
     std::size_t maxBodyBytes_;
     Handler handler_;
+    ClientAccount account_;
     std::unique_ptr<Listener> listener_;
     std::uint64_t lastSessionId_ = 0;
     std::map<std::uint64_t, std::shared_ptr<ApiSession>> sessions_;
@@ -147,9 +157,10 @@
 
 Result<std::unique_ptr<ApiServer>> ApiServer::open(event_base *base, TimerService &timers,
                                                    const peer::Address &address,
-                                                   std::size_t maxBodyBytes, Handler handler)
+                                                   std::size_t maxBodyBytes, Handler handler,
+                                                   ClientAccount account)
 {
-    auto impl = std::make_unique<Impl>(base, timers, maxBodyBytes, std::move(handler));
+    auto impl = std::make_unique<Impl>(base, timers, maxBodyBytes, std::move(handler), account);
     BOOST_LEAF_CHECK(impl->listen(address));
     return std::unique_ptr<ApiServer>(new ApiServer(std::move(impl)));
 }
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -14,6 +14,7 @@
 // Callbacks must not destroy the connection that invokes them; use TimerService::post().
 #pragma once
 
+#include "clientbudget/clientbudget.h"
 #include "peer/peer.h"
 #include "result/result.h"
 #include "timer/timer.h"
@@ -113,6 +114,13 @@
     virtual bool isOutputFull() const = 0;
 };
 
+// The budget to which connections report what they hold, if any, and their share of it.
+struct ClientAccount
+{
+    ClientBudget *budget = nullptr;
+    ClientGroup group = ClientGroup::Callers;
+};
+
 class ServerConnection
 {
 public:
@@ -126,9 +134,16 @@
         std::function<void()> closed;
         // Pending output fell to OutputLowWatermarkBytes.
         std::function<void()> drained;
+        // Returns the bytes that the owner holds for the request. May be empty.
+        std::function<std::size_t()> heldBytes;
+        // The budget is short while a complete request is served. Returns true if the request has
+        // not run and was refused; otherwise the connection is reset. May be empty.
+        std::function<bool()> refuse;
     };
 
-    ServerConnection(event_base *base, int socket, Callbacks callbacks);
+    // The budget must outlive the connection, which it may reset when memory or descriptors run
+    // short or the client makes no progress.
+    ServerConnection(event_base *base, int socket, Callbacks callbacks, ClientAccount account = {});
     ServerConnection(const ServerConnection &) = delete;
     ServerConnection &operator=(const ServerConnection &) = delete;
     ~ServerConnection();
@@ -219,9 +234,11 @@
 public:
     using AcceptCallback = std::function<void(int socket)>;
 
-    // Errors: SettingsInvalid if the address cannot be bound.
+    // Accepting pauses while the group of `account` is full. Errors: SettingsInvalid if the address
+    // cannot be bound.
     static Result<std::unique_ptr<Listener>> open(event_base *base, const peer::Address &address,
-                                                  AcceptCallback accept);
+                                                  AcceptCallback accept,
+                                                  ClientAccount account = {});
     Listener(const Listener &) = delete;
     Listener &operator=(const Listener &) = delete;
     ~Listener();
@@ -268,7 +285,8 @@
     // SettingsInvalid if the address cannot be bound.
     static Result<std::unique_ptr<ApiServer>> open(event_base *base, TimerService &timers,
                                                    const peer::Address &address,
-                                                   std::size_t maxBodyBytes, Handler handler);
+                                                   std::size_t maxBodyBytes, Handler handler,
+                                                   ClientAccount account = {});
     ApiServer(const ApiServer &) = delete;
     ApiServer &operator=(const ApiServer &) = delete;
     ~ApiServer();
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -4,7 +4,6 @@
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event.h>
-#include <event2/listener.h>
 
 #include <sys/socket.h>
 
@@ -14,7 +13,8 @@
 
 namespace {
 
-constexpr int ListenBacklog = 1024;
+// A client that neither closes its side nor stops sending is cut off this long after its response.
+constexpr timeval LingerLimit { 3, 0 };
 
 const char *reasonPhrase(int status)
 {
@@ -88,10 +88,11 @@
 class ServerConnection::Impl : public internal::MessageSink
 {
 public:
-    Impl(event_base *base, int socket, Callbacks callbacks)
+    Impl(event_base *base, int socket, Callbacks callbacks, ClientAccount account)
         : transport_(
             bufferevent_socket_new(base, socket, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS)),
-          callbacks_(std::move(callbacks)), parser_(htp_type_request, *this)
+          callbacks_(std::move(callbacks)), parser_(htp_type_request, *this),
+          budget_(account.budget), endEvent_(evtimer_new(base, &Impl::onEndEvent, this))
     {
         internal::setSocketOptions(socket);
         bufferevent_setcb(transport_.get(), &Impl::onReadable, &Impl::onOutputDrained,
@@ -99,6 +100,46 @@
         bufferevent_setwatermark(transport_.get(), EV_READ, 0, InputHighWatermarkBytes);
         bufferevent_setwatermark(transport_.get(), EV_WRITE, OutputLowWatermarkBytes, 0);
         bufferevent_enable(transport_.get(), EV_READ | EV_WRITE);
+        if (budget_ != nullptr) {
+            evbuffer_add_cb(bufferevent_get_input(transport_.get()), &Impl::onInputChanged, this);
+            evbuffer_add_cb(bufferevent_get_output(transport_.get()), &Impl::onOutputChanged, this);
+            budgetId_ = budget_->add(account.group, monotonicNow(),
+                                     [this](CloseCause cause) { cutOff(cause); });
+        }
+    }
+    Impl(const Impl &) = delete;
+    Impl &operator=(const Impl &) = delete;
+    ~Impl() override
+    {
+        event_free(endEvent_);
+        if (budget_ != nullptr) {
+            evbuffer_remove_cb(bufferevent_get_input(transport_.get()), &Impl::onInputChanged,
+                               this);
+            evbuffer_remove_cb(bufferevent_get_output(transport_.get()), &Impl::onOutputChanged,
+                               this);
+            budget_->remove(budgetId_);
+        }
+    }
+
+    // Tells the budget what this connection holds.
+    void reportUse()
+    {
+        if (budget_ == nullptr) {
+            return;
+        }
+        const std::size_t buffered = evbuffer_get_length(bufferevent_get_input(transport_.get()))
+            + transport_.pendingOutput();
+        const std::size_t ownerHeld = callbacks_.heldBytes ? callbacks_.heldBytes() : 0;
+        budget_->update(budgetId_,
+                        { buffered + ownerHeld, activity(), std::exchange(movedBytes_, 0) },
+                        monotonicNow());
+    }
+
+    void setReading(bool enabled)
+    {
+        readingPaused_ = !enabled;
+        transport_.setReading(enabled && !cutOff_);
+        reportUse();
     }
 
     bool onHead(internal::RawHead raw) override
@@ -150,9 +191,16 @@
         processInput();
     }
 
+    // Returns true while the caller has not read enough earlier responses for another request.
+    bool isNextRequestHeldBack() const
+    {
+        return awaitingNextRequest_ && transport_.pendingOutput() > OutputLowWatermarkBytes;
+    }
+
     void closeAfterOutput()
     {
         closing_ = true;
+        reportUse();
         bufferevent_setwatermark(transport_.get(), EV_WRITE, 0, 0);
         if (transport_.pendingOutput() == 0) {
             startLinger();
@@ -182,6 +230,51 @@
 private:
     using LingerOption = struct linger;
 
+    static void onInputChanged(evbuffer * /*input*/, const evbuffer_cb_info *change, void *user)
+    {
+        implOf(user).movedBytes_ += change->n_added;
+    }
+    static void onOutputChanged(evbuffer * /*output*/, const evbuffer_cb_info *change, void *user)
+    {
+        implOf(user).movedBytes_ += change->n_deleted;
+    }
+    static void onEndEvent(evutil_socket_t /*socket*/, short /*what*/, void *user)
+    {
+        implOf(user).end();
+    }
+
+    // Refuses the request that is being served, or else resets the connection.
+    void end()
+    {
+        const bool isServing = !closing_ && !closed_ && requestEnded_ && responding_;
+        keepAlive_ = false;
+        if (!isServing || !callbacks_.refuse || !callbacks_.refuse()) {
+            abort();
+        }
+    }
+
+    // Ends the connection from the event loop: the budget may be told from within any callback.
+    void cutOff(CloseCause /*cause*/)
+    {
+        cutOff_ = true;
+        bufferevent_disable(transport_.get(), EV_READ);
+        event_active(endEvent_, EV_TIMEOUT, 0);
+    }
+
+    Activity activity() const
+    {
+        if (transport_.pendingOutput() > 0) {
+            return Activity::Sending;
+        }
+        if (closing_) {
+            return Activity::Receiving;
+        }
+        if (isReadingMessage()) {
+            return readingPaused_ ? Activity::Processing : Activity::Receiving;
+        }
+        return responding_ ? Activity::Processing : Activity::Idle;
+    }
+
     static Impl &implOf(void *user) { return *static_cast<Impl *>(user); }
     static void onReadable(bufferevent * /*connection*/, void *user)
     {
@@ -207,6 +300,11 @@
             }
             return;
         }
+        if (awaitingNextRequest_) {
+            processInput();
+            return;
+        }
+        reportUse();
         if (callbacks_.drained) {
             callbacks_.drained();
         }
@@ -224,6 +322,7 @@
         const timeval lingerTimeout { 1, 0 };
         bufferevent_set_timeouts(transport_.get(), &lingerTimeout, nullptr);
         bufferevent_enable(transport_.get(), EV_READ);
+        event_add(endEvent_, &LingerLimit);
     }
 
     void reportClosedOnce()
@@ -241,14 +340,15 @@
         if (parsing_) {
             return;
         }
-        if (closing_) {
+        if (closing_ || cutOff_) {
             evbuffer_drain(input, evbuffer_get_length(input));
             return;
         }
         parsing_ = true;
-        while (!closed_ && !closing_ && parseInput(input)) { }
+        while (!closed_ && !closing_ && !isNextRequestHeldBack() && parseInput(input)) { }
         parsing_ = false;
         reportInvalidMessage();
+        reportUse();
     }
 
     // Parses input until the end of a message at most. Returns whether more of it can be parsed.
@@ -307,11 +407,21 @@
     bool lingering_ = false;
     bool closed_ = false;
     bool invalidReported_ = false;
+    bool readingPaused_ = false;
+    // The budget has told this connection to end.
+    bool cutOff_ = false;
+    ClientBudget *budget_;
+    ClientBudget::Id budgetId_ = 0;
+    // Received or sent since the last report to the budget.
+    std::size_t movedBytes_ = 0;
+    // Ends the connection from the event loop.
+    event *endEvent_;
     Instant lastReceived_ = monotonicNow();
 };
 
-ServerConnection::ServerConnection(event_base *base, int socket, Callbacks callbacks)
-    : impl_(std::make_unique<Impl>(base, socket, std::move(callbacks)))
+ServerConnection::ServerConnection(event_base *base, int socket, Callbacks callbacks,
+                                   ClientAccount account)
+    : impl_(std::make_unique<Impl>(base, socket, std::move(callbacks), account))
 {
 }
 
@@ -319,12 +429,12 @@
 
 void ServerConnection::pauseReading()
 {
-    impl_->transport().setReading(false);
+    impl_->setReading(false);
 }
 
 void ServerConnection::resumeReading()
 {
-    impl_->transport().setReading(true);
+    impl_->setReading(true);
 }
 
 void ServerConnection::sendContinue()
@@ -341,6 +451,7 @@
 void ServerConnection::sendBody(std::string_view data)
 {
     impl_->transport().writeBody(data);
+    impl_->reportUse();
 }
 
 void ServerConnection::endResponse()
@@ -388,57 +499,4 @@
     return impl_->lastReceived();
 }
 
-class Listener::Impl
-{
-public:
-    explicit Impl(AcceptCallback accept) : acceptCallback_(std::move(accept)) { }
-    Impl(const Impl &) = delete;
-    Impl &operator=(const Impl &) = delete;
-    ~Impl()
-    {
-        if (listener_ != nullptr) {
-            evconnlistener_free(listener_);
-        }
-    }
-
-    bool bind(event_base *base, const sockaddr *address, int length)
-    {
-        listener_ = evconnlistener_new_bind(base, &Impl::onAccepted, this,
-                                            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE
-                                                | LEV_OPT_CLOSE_ON_EXEC,
-                                            ListenBacklog, address, length);
-        return listener_ != nullptr;
-    }
-
-private:
-    static void onAccepted(evconnlistener * /*listener*/, evutil_socket_t socket,
-                           sockaddr * /*address*/, int /*length*/, void *user)
-    {
-        static_cast<Impl *>(user)->acceptCallback_(socket);
-    }
-
-    AcceptCallback acceptCallback_;
-    evconnlistener *listener_ = nullptr;
-};
-
-Listener::Listener(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) { }
-Listener::~Listener() = default;
-
-Result<std::unique_ptr<Listener>> Listener::open(event_base *base, const peer::Address &address,
-                                                 AcceptCallback accept)
-{
-    sockaddr_storage storage {};
-    int length = sizeof(storage);
-    auto *socketAddress = reinterpret_cast<sockaddr *>(&storage);
-    const std::string text = address.toString();
-    if (evutil_parse_sockaddr_port(text.c_str(), socketAddress, &length) != 0) {
-        return fail(ResultCode::SettingsInvalid, "not an IP address with a port number: " + text);
-    }
-    auto impl = std::make_unique<Impl>(std::move(accept));
-    if (!impl->bind(base, socketAddress, length)) {
-        return fail(ResultCode::SettingsInvalid, "cannot listen on " + text);
-    }
-    return std::unique_ptr<Listener>(new Listener(std::move(impl)));
-}
-
 } // namespace daisyhaven::http
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -141,6 +141,9 @@
           "The process received and sent nothing for this time, busy or suspended." },
         { Event::MetricsUnavailable, "MetricsUnavailable", "warn",
           "The metrics endpoint cannot listen; it is tried again, and all else goes on." },
+        { Event::ClientsClosed, "ClientsClosed", "warn",
+          "Connections of clients were closed since the last such line: memory or descriptors ran "
+          "short, or they made no progress." },
         { Event::HealthChanged, "HealthChanged", "info", "The health page changed colour." },
         { Event::ConfigurationApplied, "ConfigurationApplied", "info",
           "A newer configuration is in force on this VM." },
--- a/src/observe/observe.h
+++ b/src/observe/observe.h
@@ -34,6 +34,7 @@
     MemoryGrown = 1007,
     EventLoopDelayed = 1008,
     MetricsUnavailable = 1009,
+    ClientsClosed = 1010,
     HealthChanged = 1101,
     ConfigurationApplied = 1201,
     ConfigurationStale = 1202,
--- a/src/result/result.cpp
+++ b/src/result/result.cpp
@@ -56,6 +56,8 @@
         { Code::RetryBudgetSpent, "RetryBudgetSpent", 503, NotRun,
           "The fleet may not send another request of this service a second time now." },
         { Code::NotReady, "NotReady", 503, NotRun, "The VM holds no configuration yet." },
+        { Code::MemoryShort, "MemoryShort", 503, NotRun,
+          "The VM has no memory left for requests of clients." },
         { Code::BackendConnectFailed, "BackendConnectFailed", 502, NotRun,
           "No connection to a backend server could be opened." },
         { Code::BackendShed, "BackendShed", 503, NotRun,
--- a/src/result/result.h
+++ b/src/result/result.h
@@ -51,6 +51,7 @@
     RequestInProgress = 211,
     RetryBudgetSpent = 212,
     NotReady = 213,
+    MemoryShort = 214,
     // 3xx: the connection to the backend server, its response, or the outcome of the request.
     BackendConnectFailed = 301,
     BackendShed = 302,
