Zones: leaving costs a difference in load again, shares to vanished zones end

New connections rose. A share to a zone that lost its servers stayed for ever, because update() touched only zones with room or callers.

Change: LeavingCost 0.3 and LeavingCostForLargeBody 1.0 for every request, exploration and idle thresholds as before; 0.1 (0.5 without a leader) for the caller's own zone if another should serve. Shares of zones without room are removed at once; zones with little demand get shares; of near-equal zones the less used one is taken. A VM without a leader ignores shares of zones in which it has no usable server. Shares without a zone name are not sent.

--- a/src/coordination/viewcodec.cpp
+++ b/src/coordination/viewcodec.cpp
@@ -150,6 +150,10 @@
         reply->add_busy_teams(team);
     }
     for (const scheduler::ZoneShare &share : scheduler.zoneShares()) {
+        // A VM would ignore it.
+        if (share.from.empty() || share.to.empty()) {
+            continue;
+        }
         wire::ZoneShare *message = reply->add_zone_shares();
         message->set_service(share.service);
         message->set_from(share.from);
--- a/src/scheduler/internal/zonebalancer.h
+++ b/src/scheduler/internal/zonebalancer.h
@@ -94,6 +94,9 @@
     std::vector<Zone> currentZones(Instant now, const std::map<std::string, ZoneRoom> &rooms) const;
     Flows spread(std::vector<Zone> zones) const;
     bool moveMostUseful(std::vector<Zone> &zones, double part, Flows &flows) const;
+    static double utilization(const Zone &zone, double load);
+    static void removeSharesWithoutRoom(Origin &origin,
+                                        const std::map<std::string, ZoneRoom> &rooms);
     double responseSeconds(const Zone &zone, double load) const;
     double leavingCostSeconds(const std::string &from, const std::string &to) const;
 
--- a/src/scheduler/localloadbalancer.cpp
+++ b/src/scheduler/localloadbalancer.cpp
@@ -25,6 +25,8 @@
 // More than the largest difference by chance, so a request leaves its zone only for a server that
 // has done better or has fewer requests of this VM.
 constexpr double LeavingCost = 1;
+// Of the own zone for a request that another zone should serve.
+constexpr double StayingCost = 0.5;
 constexpr double SuspicionCost = 10;
 // A suspicion that the leader has not refreshed for this long is ignored.
 constexpr Seconds SuspicionLifetime { 3 };
@@ -236,13 +238,16 @@
 
 // ---- server selection ----
 
-// The VMs draw independently of each other, so together they follow the shares.
-const std::string &LocalLoadBalancer::drawZone(const SlotRequest &request)
+// The VMs draw independently of each other, so together they follow the shares. A share of a zone
+// without usable servers stays in the own zone.
+const std::string &LocalLoadBalancer::drawZone(const SlotRequest &request,
+                                               const std::set<std::string> &usableZones)
 {
     std::uniform_real_distribution<double> chance(0, 1);
     double drawn = chance(random_);
     for (const ZoneShare &share : zoneShares_) {
-        if (share.service != request.service || share.from != request.zone) {
+        if (share.service != request.service || share.from != request.zone
+            || usableZones.count(share.to) == 0) {
             continue;
         }
         if (drawn < share.share) {
@@ -260,24 +265,32 @@
                                                  const std::map<std::string, std::uint32_t> &inUse)
 {
     std::uniform_real_distribution<double> jitter(0, 1);
-    const std::string &zone = drawZone(request);
-    const KnownServer *best = nullptr;
-    double bestCost = 0;
+    std::vector<const KnownServer *> usableServers;
+    std::set<std::string> usableZones;
     for (const auto &[id, server] : servers) {
         const ServerInfo &info = server.info;
         const bool usable = info.service == request.service && !info.draining
             && now >= info.coldStartUntil && evacuatedZones.count(info.zone) == 0
             && request.excludedServers.count(id) == 0;
-        if (!usable) {
-            continue;
+        if (usable) {
+            usableServers.push_back(&server);
+            usableZones.insert(info.zone);
         }
+    }
+    const std::string &zone = drawZone(request, usableZones);
+    const KnownServer *best = nullptr;
+    double bestCost = 0;
+    for (const KnownServer *server : usableServers) {
+        const std::string &id = server->info.id;
         const auto used = inUse.find(id);
         double cost = jitter(random_) + serverStats_.penalty(now, id);
         cost += used == inUse.end() ? 0 : used->second;
-        cost += info.zone == zone ? 0 : LeavingCost;
-        cost += server.suspected && viewAge < SuspicionLifetime ? SuspicionCost : 0;
+        if (server->info.zone != zone) {
+            cost += server->info.zone == request.zone ? StayingCost : LeavingCost;
+        }
+        cost += server->suspected && viewAge < SuspicionLifetime ? SuspicionCost : 0;
         if (best == nullptr || cost < bestCost) {
-            best = &server;
+            best = server;
             bestCost = cost;
         }
     }
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -555,7 +555,8 @@
     };
 
     double localLimit(const routing::Team &team, double expected) const;
-    const std::string &drawZone(const SlotRequest &request);
+    const std::string &drawZone(const SlotRequest &request,
+                                const std::set<std::string> &usableZones);
 
     std::mt19937_64 random_;
     std::size_t entryVmCount_ = 1;
--- a/src/scheduler/scheduler_test.cpp
+++ b/src/scheduler/scheduler_test.cpp
@@ -853,6 +853,34 @@
     EXPECT_EQ(chooser.pickServer(StartTime, Seconds(1), request, servers, { "b" }, {}), nullptr);
 }
 
+TEST(WithoutLeader, ZoneSharesAreFollowedOnlyToZonesWithUsableServers)
+{
+    auto servers = knownServers();
+    servers["s4"] = servers["s3"];
+    servers["s4"].info.id = "s4";
+    servers["s4"].info.zone = "c";
+    LocalLoadBalancer chooser(1);
+    chooser.setZoneShares({ { "orders", "a", "b", 1 } });
+    SlotRequest request;
+    request.service = "orders";
+    request.zone = "a";
+    const auto countZone = [&](const std::string &zone, const std::set<std::string> &evacuated) {
+        int count = 0;
+        for (int i = 0; i < 200; ++i) {
+            const KnownServer *server =
+                chooser.pickServer(StartTime, Seconds(1), request, servers, evacuated, {});
+            count += server->info.zone == zone ? 1 : 0;
+        }
+        return count;
+    };
+    EXPECT_GT(countZone("b", {}), 120);
+    EXPECT_EQ(countZone("c", {}), 0);
+    EXPECT_EQ(countZone("a", { "b" }), 200);
+    servers["s2"].info.draining = true;
+    servers["s3"].info.draining = true;
+    EXPECT_EQ(countZone("a", {}), 200);
+}
+
 // After a long partition, servers that were suspected in the leader's last view receive requests
 // again. Otherwise the few others would carry the whole load of the service.
 TEST(WithoutLeader, SuspicionsOfOldViewAreIgnored)
--- a/src/scheduler/serverselection.cpp
+++ b/src/scheduler/serverselection.cpp
@@ -22,12 +22,12 @@
 // The high weight sends requests that are not idempotent to servers with a recent success rather
 // than to the least loaded ones.
 constexpr double NonIdempotentFailureCostWeight = 40.0;
-// A request leaves its serving zone for a server that is less likely to fail by this much, or if
-// the zone has no free slot.
-constexpr double LeavingFailureProbability = 0.02;
-// Difference in load, as a share of the slots, that alone makes a request leave.
-constexpr double LeavingLoad = 0.5;
-constexpr double LargeBodyLeavingFactor = 2;
+// Costs of servers outside the serving zone, as a difference in load (share of the slots). They are
+// the same for all requests: a request that must not fail leaves even for little more trust.
+constexpr double LeavingCost = 0.3;
+constexpr double LeavingCostForLargeBody = 1.0;
+// Cost of the caller's own zone if another one should serve the request. Staying costs no traffic.
+constexpr double StayingCost = 0.1;
 constexpr double NewConnectionCost = 0.45;
 // Higher than for idempotent requests, because the differences in failure cost are higher too.
 constexpr double NonIdempotentNewConnectionCost = 1.0;
@@ -40,10 +40,6 @@
 // reveal its health. Idempotent requests reach it first because they can be retried.
 constexpr Milliseconds IdleThreshold { 900 };
 constexpr Milliseconds NonIdempotentIdleThreshold { 1500 };
-// VMs of other zones leave such a server to those of its own zone for this long, and VMs with a
-// connection to it prefer it earlier by this time.
-constexpr Milliseconds OtherZoneIdleDelay { 100 };
-constexpr Milliseconds ConnectedIdleAdvance { 200 };
 constexpr double IdleServerBonus = 10;
 constexpr double CostJitter = 0.05;
 constexpr double MaxSlowness = 3;
@@ -86,17 +82,15 @@
     return request.servingZone.empty() ? request.zone : request.servingZone;
 }
 
-double newConnectionCost(const SlotRequest &request)
+double zoneCost(const SlotRequest &request, const std::string &zone)
 {
-    return request.idempotent ? NewConnectionCost : NonIdempotentNewConnectionCost;
-}
-
-// An open connection alone is no reason to leave the zone.
-double leavingCost(const SlotRequest &request)
-{
-    const double cost = LeavingLoad + failureCostWeight(request) * LeavingFailureProbability
-        + newConnectionCost(request);
-    return request.largeBody ? LargeBodyLeavingFactor * cost : cost;
+    if (zone == servingZone(request)) {
+        return 0;
+    }
+    if (zone == request.zone) {
+        return StayingCost;
+    }
+    return request.largeBody ? LeavingCostForLargeBody : LeavingCost;
 }
 
 } // namespace
@@ -140,23 +134,16 @@
     const double slowness = std::clamp(server.health.slowness(), MinSlowness, MaxSlowness);
     cost += SlownessCostWeight * (slowness - 1);
     cost += ShedCostWeight * server.health.shedShare();
-    const Duration idleTime = now - server.lastGrantAt;
-    const bool inServingZone = server.info.zone == servingZone(request);
-    if (!inServingZone) {
-        cost += leavingCost(request);
+    cost += zoneCost(request, server.info.zone);
+    if (server.connectedInSelection != lastSelection_) {
+        cost += request.idempotent ? NewConnectionCost : NonIdempotentNewConnectionCost;
     }
-    const bool connected = server.connectedInSelection == lastSelection_;
-    if (!connected) {
-        cost += newConnectionCost(request);
-    }
-    if (request.idempotent && inServingZone) {
+    const Duration idleTime = now - server.lastGrantAt;
+    if (request.idempotent) {
         const double idleSeconds = std::chrono::duration<double>(idleTime).count();
         cost -= ExplorationBonusPerSecond * std::min(idleSeconds, MaxExplorationSeconds);
     }
-    const Duration threshold = (request.idempotent ? IdleThreshold : NonIdempotentIdleThreshold)
-        + (inServingZone ? Milliseconds(0) : OtherZoneIdleDelay)
-        - (connected ? ConnectedIdleAdvance : Milliseconds(0));
-    if (idleTime > threshold) {
+    if (idleTime > (request.idempotent ? IdleThreshold : NonIdempotentIdleThreshold)) {
         cost -= IdleServerBonus;
     }
     return cost;
--- a/src/scheduler/zonebalancer.cpp
+++ b/src/scheduler/zonebalancer.cpp
@@ -22,6 +22,9 @@
 constexpr double OverloadSeconds = 2;
 // Response time of a zone without room.
 constexpr double NoRoomSeconds = 3600;
+constexpr double NoRoomUtilization = 1e9;
+// Of two zones whose gain differs by less, the one with the lower utilization gets the load.
+constexpr double EqualGainSeconds = 0.001;
 
 constexpr double MinReportedShare = 0.01;
 
@@ -89,10 +92,10 @@
     if (zone.room.slots <= 0) {
         return NoRoomSeconds;
     }
-    const double utilization = load * zone.room.slowness / zone.room.slots;
+    const double used = utilization(zone, load);
     const double inService = serviceSeconds_ * zone.room.slowness;
-    const double wait = inService * waitInServiceTimes(zone.room.slots, utilization);
-    const double overload = std::max(utilization - MaxQueueingUtilization, 0.0);
+    const double wait = inService * waitInServiceTimes(zone.room.slots, used);
+    const double overload = std::max(used - MaxQueueingUtilization, 0.0);
     return inService + wait + overload * OverloadSeconds;
 }
 
@@ -116,22 +119,39 @@
     return list;
 }
 
-// Moves one part of the demand where it gains most. Returns false if no move gains anything.
+double ZoneBalancer::utilization(const Zone &zone, double load)
+{
+    return zone.room.slots > 0 ? load * zone.room.slowness / zone.room.slots : NoRoomUtilization;
+}
+
+// Moves one part of the demand, or what is left of a zone's, where it gains most. Returns false if
+// no move gains anything.
 bool ZoneBalancer::moveMostUseful(std::vector<Zone> &zones, double part, Flows &flows) const
 {
     double bestGain = 0;
+    double bestUtilization = 0;
+    double bestAmount = 0;
     std::size_t bestFrom = 0;
     std::size_t bestTo = 0;
-    for (std::size_t to = 0; to < zones.size(); ++to) {
-        const double there = responseSeconds(zones[to], zones[to].load + part);
-        for (std::size_t from = 0; from < zones.size(); ++from) {
-            if (from == to || zones[from].demand < part) {
+    for (std::size_t from = 0; from < zones.size(); ++from) {
+        const double amount = std::min(part, zones[from].demand);
+        if (amount <= 0) {
+            continue;
+        }
+        for (std::size_t to = 0; to < zones.size(); ++to) {
+            if (from == to) {
                 continue;
             }
-            const double gain = zones[from].responseSeconds - there
+            const double load = zones[to].load + amount;
+            const double gain = zones[from].responseSeconds - responseSeconds(zones[to], load)
                 - leavingCostSeconds(zones[from].name, zones[to].name);
-            if (gain > bestGain) {
+            const double used = utilization(zones[to], load);
+            const bool isBetter = gain > bestGain + EqualGainSeconds
+                || (gain > 0 && gain > bestGain - EqualGainSeconds && used < bestUtilization);
+            if (isBetter) {
                 bestGain = gain;
+                bestUtilization = used;
+                bestAmount = amount;
                 bestFrom = from;
                 bestTo = to;
             }
@@ -140,10 +160,10 @@
     if (bestGain <= 0) {
         return false;
     }
-    flows[bestFrom][bestTo] += part;
-    zones[bestFrom].demand -= part;
-    zones[bestFrom].load -= part;
-    zones[bestTo].load += part;
+    flows[bestFrom][bestTo] += bestAmount;
+    zones[bestFrom].demand -= bestAmount;
+    zones[bestFrom].load -= bestAmount;
+    zones[bestTo].load += bestAmount;
     zones[bestFrom].responseSeconds = responseSeconds(zones[bestFrom], zones[bestFrom].load);
     zones[bestTo].responseSeconds = responseSeconds(zones[bestTo], zones[bestTo].load);
     return true;
@@ -157,7 +177,9 @@
         demand += zone.demand;
     }
     const double part = demand / DemandParts;
-    for (int i = 0; part > 0 && i < static_cast<int>(DemandParts); ++i) {
+    // Each zone may have one smaller part.
+    const std::size_t maxMoves = static_cast<std::size_t>(DemandParts) + zones.size();
+    for (std::size_t i = 0; part > 0 && i < maxMoves; ++i) {
         if (!moveMostUseful(zones, part, flows)) {
             break;
         }
@@ -179,22 +201,41 @@
     serviceSeconds_ = toSeconds(serviceTime);
     const std::vector<Zone> zones = currentZones(now, rooms);
     const Flows flows = spread(zones);
+    for (auto &[name, origin] : origins_) {
+        removeSharesWithoutRoom(origin, rooms);
+    }
     for (std::size_t from = 0; from < zones.size(); ++from) {
         const auto known = origins_.find(zones[from].name);
-        if (known == origins_.end() || zones[from].demand <= 0) {
+        if (known == origins_.end()) {
             continue;
         }
         Origin &origin = known->second;
-        origin.largeBodyShare = origin.largeBodies.perSecond(now) / origin.requests.perSecond(now);
+        origin.largeBodyShare =
+            ratioOrZero(origin.largeBodies.perSecond(now), origin.requests.perSecond(now));
         for (std::size_t to = 0; to < zones.size(); ++to) {
-            if (from != to) {
+            if (from != to && zones[to].room.slots > 0) {
                 double &share = origin.shares[zones[to].name];
-                share += (flows[from][to] / zones[from].demand - share) * step;
+                share += (ratioOrZero(flows[from][to], zones[from].demand) - share) * step;
             }
         }
     }
 }
 
+// At once, since nobody serves these requests there. What they leave stays until other zones take
+// it.
+void ZoneBalancer::removeSharesWithoutRoom(Origin &origin,
+                                           const std::map<std::string, ZoneRoom> &rooms)
+{
+    for (auto share = origin.shares.begin(); share != origin.shares.end();) {
+        const auto room = rooms.find(share->first);
+        const bool hasRoom = room != rooms.end() && room->second.slots > 0;
+        if (!hasRoom) {
+            origin.due.erase(share->first);
+        }
+        share = hasRoom ? std::next(share) : origin.shares.erase(share);
+    }
+}
+
 double ZoneBalancer::share(const std::string &from, const std::string &to) const
 {
     const auto origin = origins_.find(from);
--- a/src/scheduler/zonebalancer_test.cpp
+++ b/src/scheduler/zonebalancer_test.cpp
@@ -233,6 +233,67 @@
     EXPECT_LT(zones.balancer().share("b", "a"), 0.03);
 }
 
+// Sends `perSecond` requests from zone `from` for a time and updates the shares with `rooms`.
+void sendAndUpdate(ZoneBalancer &balancer, Instant &now, Seconds length, const std::string &from,
+                   double perSecond, const std::map<std::string, ZoneRoom> &rooms)
+{
+    const double step = std::chrono::duration<double>(StepLength).count();
+    double due = 0;
+    for (const Instant end = now + length; now < end; now += StepLength) {
+        for (due += perSecond * step; due >= 1; due -= 1) {
+            balancer.recordRequest(now, from, false);
+        }
+        if (balancer.isUpdateDue(now)) {
+            balancer.update(now, rooms, ServiceTime);
+        }
+    }
+}
+
+// Zone b has no callers, so nothing but its servers makes it known.
+TEST(ZoneBalancer, ZoneWithoutCallersThatLosesItsServersGetsNothing)
+{
+    ZoneBalancer balancer;
+    Instant now = Start;
+    sendAndUpdate(balancer, now, Settling, "a", 250, { { "a", { 30, 1 } }, { "b", { 140, 1 } } });
+    ASSERT_GT(balancer.share("a", "b"), 0.4);
+    balancer.update(now, { { "a", { 30, 1 } } }, ServiceTime);
+    EXPECT_EQ(balancer.share("a", "b"), 0);
+    EXPECT_TRUE(balancer.shares().empty());
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(balancer.pickZone("a", false), "a");
+    }
+}
+
+TEST(ZoneBalancer, SharesOfZoneWithoutDemandDecay)
+{
+    ZoneBalancer balancer;
+    const std::map<std::string, ZoneRoom> rooms { { "a", { 30, 1 } }, { "b", { 140, 1 } } };
+    Instant now = Start;
+    sendAndUpdate(balancer, now, Settling, "a", 250, rooms);
+    ASSERT_GT(balancer.share("a", "b"), 0.4);
+    sendAndUpdate(balancer, now, Seconds(30), "a", 0, rooms);
+    EXPECT_LT(balancer.share("a", "b"), 0.01);
+}
+
+// Zone a has 0.4% of the demand and no servers.
+TEST(ZoneBalancer, ZoneWithLittleDemandGetsShares)
+{
+    SimulatedZones zones({ "", { 0, 140, 140 }, [](double) {
+                              return std::array<double, 3> { 2, 250, 250 };
+                          } });
+    zones.simulate(Settling);
+    EXPECT_GT(zones.balancer().share("a", "b") + zones.balancer().share("a", "c"), 0.9);
+}
+
+TEST(ZoneBalancer, OfEqualZonesTheOneWithMoreRoomIsPreferred)
+{
+    SimulatedZones zones({ "", { 0, 140, 400 }, [](double) {
+                              return std::array<double, 3> { 250, 100, 100 };
+                          } });
+    zones.simulate(Settling);
+    EXPECT_GT(zones.balancer().share("a", "c"), zones.balancer().share("a", "b"));
+}
+
 TEST(ZoneBalancer, LearnsTheDistanceOfZones)
 {
     ZoneBalancer balancer;
