Zones: a higher cost of leaving, and idle servers go to VMs that are connected to them

Cause: with a cost of 0.3 the shares alone saved no traffic between zones in widefleet_test, and looking after idle servers opened connections. Change: LeavingCost 0.4; a VM with a connection prefers an idle server 0.2 s earlier.

--- a/src/scheduler/serverselection.cpp
+++ b/src/scheduler/serverselection.cpp
@@ -24,7 +24,7 @@
 constexpr double NonIdempotentFailureCostWeight = 40.0;
 // Costs of servers outside the serving zone, as a difference in load (share of the slots). They are
 // the same for all requests: a request that must not fail leaves even for little more trust.
-constexpr double LeavingCost = 0.3;
+constexpr double LeavingCost = 0.4;
 constexpr double LeavingCostForLargeBody = 1.0;
 // Cost of the caller's own zone if another one should serve the request. Staying costs no traffic.
 constexpr double StayingCost = 0.1;
@@ -40,6 +40,9 @@
 // reveal its health. Idempotent requests reach it first because they can be retried.
 constexpr Milliseconds IdleThreshold { 900 };
 constexpr Milliseconds NonIdempotentIdleThreshold { 1500 };
+// VMs with a connection to such a server prefer it earlier by this time, so that looking after it
+// seldom costs a connection.
+constexpr Milliseconds ConnectedIdleAdvance { 200 };
 constexpr double IdleServerBonus = 10;
 constexpr double CostJitter = 0.05;
 constexpr double MaxSlowness = 3;
@@ -135,7 +138,8 @@
     cost += SlownessCostWeight * (slowness - 1);
     cost += ShedCostWeight * server.health.shedShare();
     cost += zoneCost(request, server.info.zone);
-    if (server.connectedInSelection != lastSelection_) {
+    const bool connected = server.connectedInSelection == lastSelection_;
+    if (!connected) {
         cost += request.idempotent ? NewConnectionCost : NonIdempotentNewConnectionCost;
     }
     const Duration idleTime = now - server.lastGrantAt;
@@ -143,7 +147,9 @@
         const double idleSeconds = std::chrono::duration<double>(idleTime).count();
         cost -= ExplorationBonusPerSecond * std::min(idleSeconds, MaxExplorationSeconds);
     }
-    if (idleTime > (request.idempotent ? IdleThreshold : NonIdempotentIdleThreshold)) {
+    const Duration threshold = (request.idempotent ? IdleThreshold : NonIdempotentIdleThreshold)
+        - (connected ? ConnectedIdleAdvance : Milliseconds(0));
+    if (idleTime > threshold) {
         cost -= IdleServerBonus;
     }
     return cost;
