--- a/src/clientbudget/clientbudget.h
+++ b/src/clientbudget/clientbudget.h
@@ -7,8 +7,9 @@
 //
 // Example:
 //     ClientBudget budget({ 24'000'000, 400 });
-//     const auto id = budget.add(ClientGroup::Callers, now, [&](CloseCause cause) { close(cause);
-//     }); budget.update(id, { bytes, Activity::Receiving, movedBytes }, now);
+//     const auto close = [&](CloseCause cause) { connection.end(cause); };
+//     const auto id = budget.add(ClientGroup::Callers, now, close);
+//     budget.update(id, { bytes, Activity::Receiving, movedBytes }, now);
 //
 // Thread safety: not thread-safe. No I/O and no clock: the time is an argument.
 #pragma once
--- a/src/scheduler/internal/state.h
+++ b/src/scheduler/internal/state.h
@@ -52,6 +52,7 @@
         return dropExpiredAndCount(now, limits) + 1 <= maxRetries(limits)
             && stored_ - static_cast<double>(waitingRetries_) >= 1;
     }
+
     // Returns whether probing every suspected server could use up the remaining retries.
     bool isNearlySpent(Instant now, const Limits &limits)
     {
@@ -95,6 +96,7 @@
     std::deque<Instant> firstAttempts_;
     std::deque<Instant> retries_;
     std::size_t waitingRetries_ = 0;
+    // Retries that can be sent at once.
     double stored_;
     Instant storedAt_;
 };
