--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -50,7 +50,7 @@
     // The sink accepts more response data.
     void onSinkDrained();
     // Returns the approximate memory of the request's head and of the retained part of its body.
-    std::size_t heldBytes() const { return headBytes_ + buffer_.size(); }
+    std::size_t heldBytes() const { return headBytes_ + buffer_.capacity(); }
 
 private:
     // Body size that is read before a slot is requested, and that is retained for a retry.
--- a/src/http/apiserver.cpp
+++ b/src/http/apiserver.cpp
@@ -1,11 +1,16 @@
 #include "http/http.h"
 
+#include <algorithm>
 #include <map>
+#include <utility>
 
 namespace daisyhaven::http {
 
 namespace {
 
+// A body that needs more memory gets this part of its size at least.
+constexpr std::size_t BodyGrowthDivisor = 8;
+
 // Serves one connection. Responses may arrive after the handler has returned.
 class ApiSession : public std::enable_shared_from_this<ApiSession>
 {
@@ -29,7 +34,8 @@
             sendResponse({ resultInfo(failure.code).httpStatus, "text/plain", failure.detail, {} });
         };
         callbacks.closed = [this] { closedCallback_(); };
-        callbacks.heldBytes = [this] { return request_.body.size() + request_.path.size(); };
+        // A body that grows takes more than its size.
+        callbacks.heldBytes = [this] { return request_.body.capacity() + request_.path.size(); };
         connection_ =
             std::make_unique<ServerConnection>(base, socket, std::move(callbacks), account_);
     }
@@ -51,9 +57,23 @@
             request_.body = std::string();
             return;
         }
+        reserveFor(data.size());
         request_.body.append(data);
     }
 
+    // A string that grows by itself doubles its memory, and holds the old one beside it meanwhile.
+    void reserveFor(std::size_t more)
+    {
+        const std::string &body = request_.body;
+        if (body.size() + more <= body.capacity()) {
+            return;
+        }
+        std::string larger;
+        larger.reserve(body.size() + std::max(more, body.size() / BodyGrowthDivisor));
+        larger.append(body);
+        request_.body = std::move(larger);
+    }
+
     // Sends the response from the event loop, so that the connection is not re-entered from its own
     // callback.
     void invokeHandler()
