--- a/src/http/internal/message.h
+++ b/src/http/internal/message.h
@@ -87,4 +87,7 @@
 // Errors: MalformedRequest if a name or value contains a character that HTTP forbids.
 Result<void> checkFields(const Headers &headers);
 
+// Returns the head of a request. Errors: MalformedRequest, and those of bodyLength().
+Result<RequestHead> validateRequestHead(RawHead raw);
+
 } // namespace daisyhaven::http::internal
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -27,6 +27,20 @@
     return c == '\t' || (byte >= ' ' && byte != 0x7f);
 }
 
+bool hasDotSegment(const std::string &path)
+{
+    std::string decoded;
+    for (std::size_t i = 0; i < path.size(); ++i) {
+        const bool encodedDot = path[i] == '%' && i + 2 < path.size() && path[i + 1] == '2'
+            && (path[i + 2] == 'e' || path[i + 2] == 'E');
+        decoded += encodedDot ? '.' : path[i];
+        i += encodedDot ? 2 : 0;
+    }
+    decoded += '/';
+    return decoded.find("/../") != std::string::npos || decoded.find("/./") != std::string::npos
+        || path.find("//") != std::string::npos;
+}
+
 } // namespace
 
 const std::string *Headers::find(std::string_view name) const
@@ -325,6 +339,35 @@
     return {};
 }
 
+Result<RequestHead> validateRequestHead(RawHead raw)
+{
+    BOOST_LEAF_CHECK(checkFields(raw.headers));
+    if (raw.major != 1) {
+        return fail(ResultCode::MalformedRequest, "the HTTP major version is not 1");
+    }
+    const std::size_t hostCount = raw.headers.count("host");
+    const bool hostValid = hostCount == 1 || (hostCount == 0 && raw.minor == 0);
+    if (!hostValid) {
+        return fail(ResultCode::MalformedRequest, "the request must have exactly one Host field");
+    }
+    if (raw.path.empty() || raw.path.front() != '/' || hasDotSegment(raw.path)) {
+        return fail(ResultCode::MalformedRequest,
+                    "the path is not absolute or contains empty or dot segments");
+    }
+    BOOST_LEAF_AUTO(body, bodyLength(raw.headers, raw.minor));
+    RequestHead head;
+    head.method = std::move(raw.method);
+    head.path = std::move(raw.path);
+    head.query = std::move(raw.query);
+    const std::string *expect = raw.headers.find("expect");
+    head.expectsContinue = expect != nullptr && raw.minor >= 1;
+    head.headers = std::move(raw.headers);
+    head.framing = body.framing;
+    head.contentLength = body.length;
+    head.keepAlive = raw.keepAlive;
+    return head;
+}
+
 } // namespace internal
 
 } // namespace daisyhaven::http
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -40,49 +40,6 @@
     }
 }
 
-bool hasDotSegment(const std::string &path)
-{
-    std::string decoded;
-    for (std::size_t i = 0; i < path.size(); ++i) {
-        const bool encodedDot = path[i] == '%' && i + 2 < path.size() && path[i + 1] == '2'
-            && (path[i + 2] == 'e' || path[i + 2] == 'E');
-        decoded += encodedDot ? '.' : path[i];
-        i += encodedDot ? 2 : 0;
-    }
-    decoded += '/';
-    return decoded.find("/../") != std::string::npos || decoded.find("/./") != std::string::npos
-        || path.find("//") != std::string::npos;
-}
-
-Result<RequestHead> validateRequestHead(internal::RawHead raw)
-{
-    BOOST_LEAF_CHECK(internal::checkFields(raw.headers));
-    if (raw.major != 1) {
-        return fail(ResultCode::MalformedRequest, "the HTTP major version is not 1");
-    }
-    const std::size_t hostCount = raw.headers.count("host");
-    const bool hostValid = hostCount == 1 || (hostCount == 0 && raw.minor == 0);
-    if (!hostValid) {
-        return fail(ResultCode::MalformedRequest, "the request must have exactly one Host field");
-    }
-    if (raw.path.empty() || raw.path.front() != '/' || hasDotSegment(raw.path)) {
-        return fail(ResultCode::MalformedRequest,
-                    "the path is not absolute or contains empty or dot segments");
-    }
-    BOOST_LEAF_AUTO(body, internal::bodyLength(raw.headers, raw.minor));
-    RequestHead head;
-    head.method = std::move(raw.method);
-    head.path = std::move(raw.path);
-    head.query = std::move(raw.query);
-    const std::string *expect = raw.headers.find("expect");
-    head.expectsContinue = expect != nullptr && raw.minor >= 1;
-    head.headers = std::move(raw.headers);
-    head.framing = body.framing;
-    head.contentLength = body.length;
-    head.keepAlive = raw.keepAlive;
-    return head;
-}
-
 } // namespace
 
 class ServerConnection::Impl : public internal::MessageSink
@@ -144,7 +101,8 @@
 
     bool onHead(internal::RawHead raw) override
     {
-        const auto validated = attempt([&] { return validateRequestHead(std::move(raw)); });
+        const auto validated =
+            attempt([&] { return internal::validateRequestHead(std::move(raw)); });
         if (const auto *failure = std::get_if<Failure>(&validated)) {
             rejection_ = *failure;
             return false;
--- a/tests/crowd/crowd.py
+++ b/tests/crowd/crowd.py
@@ -214,7 +214,7 @@
     end = asyncio.get_running_loop().time() + ANSWER_S
     while asyncio.get_running_loop().time() < end:
         try:
-            answer = await http1.call(f"{ip}:{port}", "GET", target, timeout=5)
+            answer = await http1.call(f"{ip}:{port}", "GET", target, timeout=5, host_name=HOST)
         except (OSError, http1.Closed, asyncio.TimeoutError):
             answer = (0,)
         if answer[0] == 200:
@@ -223,18 +223,6 @@
     return False
 
 
-class OrdinaryHost:
-    """Makes http1.call() name the host of the routes."""
-
-    def __enter__(self):
-        self.message = http1.message
-        http1.message = lambda line, headers, body=b"": self.message(
-            line, {**headers, **({"Host": HOST} if "Host" in headers else {})}, body)
-
-    def __exit__(self, *_):
-        http1.message = self.message
-
-
 async def watch(process, peak):
     while process.running:
         try:
@@ -290,8 +278,7 @@
 def play_case(kind, path, options):
     folder = os.path.join(options.folder, f"{path}-{kind}")
     shutil.rmtree(folder, ignore_errors=True)
-    with OrdinaryHost():
-        problems, peak = asyncio.run(play(kind, path, options, folder))
+    problems, peak = asyncio.run(play(kind, path, options, folder))
     verdict = "FAILED: " + "; ".join(problems) if problems else "passed"
     print(f"{path} {kind}: peak {peak['kb'] / 1024:.1f} MB, {peak['sockets']} sockets: {verdict}", flush=True)
     return not problems
--- a/tests/soak/http1.py
+++ b/tests/soak/http1.py
@@ -48,13 +48,13 @@
     return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
 
 
-async def call(address, method, path, body=b"", timeout=1.0):
-    """Sends one request on a new connection; returns (status, headers, body)."""
+async def call(address, method, path, body=b"", timeout=1.0, host_name=None):
+    """Sends one request on a new connection, for `host_name` if given; returns (status, headers, body)."""
     async def exchange():
         host, port = address.split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         try:
-            headers = {"Host": address, "Connection": "close", "Content-Type": "application/json"}
+            headers = {"Host": host_name or address, "Connection": "close", "Content-Type": "application/json"}
             writer.write(message(f"{method} {path} HTTP/1.1", headers, body))
             answer = await read_message(reader)
         finally:
