--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -130,7 +130,7 @@
 
     void setZoneOutOfService(const std::string &zone, bool outOfService, const ChangeCallback &done)
     {
-        if (zone.empty() || !isPlainText(zone)) {
+        if (!isName(zone)) {
             done(Failure { ResultCode::UnknownAvailabilityZone, "not a name: " + zone });
             return;
         }
--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -212,11 +212,14 @@
     std::string document;
 };
 
+constexpr Seconds MaxRolloutDuration { 24 * 3600 };
+
 // An order to move a service over to another version of its servers.
 struct RolloutOrder
 {
     std::string service;
-    std::string targetVersion;
+    // Version to which the service moves over.
+    std::string target;
     Duration duration { 0 };
 };
 
--- a/src/coordination/durablestate.cpp
+++ b/src/coordination/durablestate.cpp
@@ -152,22 +152,12 @@
     version_ = state.version();
     document_ = state.document();
     lastChangeIndex_ = state.index();
-    zonesOutOfService_.clear();
-    for (const std::string &zone : state.zones_out()) {
-        if (isReadableName(zone)) {
-            zonesOutOfService_.insert(zone);
-        }
-    }
+    zonesOutOfService_ = readableZonesOutOfService(state);
     servers_.clear();
     for (const wire::FleetServer &server : state.servers()) {
         recordServer(server);
     }
-    rollouts_.clear();
-    for (const wire::Rollout &message : state.rollouts()) {
-        if (isReadable(message)) {
-            rollouts_[message.service()] = fromWire(message);
-        }
-    }
+    rollouts_ = readableRollouts(state);
     deregistrations_.clear();
     for (const wire::Departure &deregistration : state.departures()) {
         if (isReadableName(deregistration.id())) {
--- a/src/coordination/internal/viewcodec.h
+++ b/src/coordination/internal/viewcodec.h
@@ -8,6 +8,8 @@
 #include "rollout/rollout.h"
 #include "scheduler/scheduler.h"
 
+#include <map>
+#include <set>
 #include <string>
 
 namespace daisyhaven::coordination {
@@ -18,6 +20,9 @@
 // Returns whether all names in the message can be used. Logs one that cannot.
 bool isReadable(const wire::FleetServer &message);
 bool isReadable(const wire::Rollout &message);
+// Return the items of a state whose names can be used; the roll-outs by service.
+std::set<std::string> readableZonesOutOfService(const wire::CoordinationState &state);
+std::map<std::string, rollout::Rollout> readableRollouts(const wire::CoordinationState &state);
 
 wire::Rollout toWire(const rollout::Rollout &rollout);
 rollout::Rollout fromWire(const wire::Rollout &message);
--- a/src/coordination/leaderclient.cpp
+++ b/src/coordination/leaderclient.cpp
@@ -428,18 +428,8 @@
         }
         const wire::CoordinationState &state = reply.state();
         view_.documentIndex = reply.document_index();
-        view_.zonesOutOfService.clear();
-        for (const std::string &zone : state.zones_out()) {
-            if (isReadableName(zone)) {
-                view_.zonesOutOfService.insert(zone);
-            }
-        }
-        view_.rollouts.clear();
-        for (const wire::Rollout &rollout : state.rollouts()) {
-            if (isReadable(rollout)) {
-                view_.rollouts[rollout.service()] = fromWire(rollout);
-            }
-        }
+        view_.zonesOutOfService = readableZonesOutOfService(state);
+        view_.rollouts = readableRollouts(state);
         notifyConfigurationChanged();
         documentSource_ = address;
         if (!state.document().empty() && state.version() > view_.configurationVersion) {
--- a/src/coordination/rolloutcoordinator.cpp
+++ b/src/coordination/rolloutcoordinator.cpp
@@ -24,7 +24,6 @@
 constexpr Seconds VmTimeout { 3 };
 // VMs report to a new leader within this time which slots they hold.
 constexpr Seconds LeaderSettlingTime { 1 };
-constexpr Duration MaxRolloutDuration = Seconds(24 * 3600);
 
 const char *phaseName(Phase phase)
 {
@@ -43,15 +42,13 @@
 
 Result<void> checkOrder(const RolloutOrder &order, const routing::RoutingTable *table)
 {
-    if (order.targetVersion.empty() || !isPlainText(order.targetVersion)) {
-        return fail(ResultCode::RolloutInvalid, "not a version: " + order.targetVersion);
+    if (!isName(order.target)) {
+        return fail(ResultCode::RolloutInvalid, "not a version: " + order.target);
     }
     if (order.duration < Milliseconds(1) || order.duration > MaxRolloutDuration) {
         return fail(ResultCode::RolloutInvalid, "the duration is out of range");
     }
-    const bool serviceKnown = !order.service.empty() && isPlainText(order.service)
-        && isServiceConfigured(table, order.service);
-    if (!serviceKnown) {
+    if (!isName(order.service) || !isServiceConfigured(table, order.service)) {
         return fail(ResultCode::RolloutInvalid, "unknown service: " + order.service);
     }
     return {};
@@ -66,7 +63,7 @@
             versions.insert(entry.announcement.version);
         }
     }
-    versions.erase(order.targetVersion);
+    versions.erase(order.target);
     return versions;
 }
 
@@ -85,7 +82,7 @@
 // missed the confirmation.
 bool RolloutCoordinator::isRepeated(const RolloutOrder &order, const Rollout &rollout) const
 {
-    if (order.targetVersion != rollout.targetVersion) {
+    if (order.target != rollout.target) {
         return false;
     }
     return rollout.phase != Phase::RolledBack || remainingTime(rollout) > Duration(0);
@@ -96,7 +93,7 @@
 Failure inProgress(const Rollout &rollout)
 {
     return { ResultCode::RolloutInProgress,
-             rollout.service + " moves over to version " + rollout.targetVersion };
+             rollout.service + " moves over to version " + rollout.target };
 }
 
 bool isFailure(scheduler::Outcome outcome)
@@ -118,7 +115,7 @@
 scheduler::VersionGate gateFor(const Rollout &rollout, Phase phase)
 {
     scheduler::VersionGate gate;
-    gate.targetVersion = rollout.targetVersion;
+    gate.target = rollout.target;
     gate.replacedVersions = rollout.replacedVersions;
     gate.reportsResults = !rollout::isFinished(phase);
     gate.replacedVersionsServe = phase == Phase::Running || phase == Phase::RolledBack;
@@ -174,7 +171,7 @@
         return;
     }
     Rollout ordered { order.service,
-                      order.targetVersion,
+                      order.target,
                       otherVersions(directory, order),
                       wallClockMs_(),
                       static_cast<std::uint32_t>(order.duration / Milliseconds(1)),
@@ -195,8 +192,7 @@
     propose_(ordered, [this, ordered, done](const ChangeOutcome &outcome) {
         const auto committed = state_.rollouts().find(ordered.service);
         const bool overtaken = std::holds_alternative<Committed>(outcome)
-            && committed != state_.rollouts().end()
-            && committed->second.targetVersion != ordered.targetVersion;
+            && committed != state_.rollouts().end() && committed->second.target != ordered.target;
         done(overtaken ? ChangeOutcome(inProgress(committed->second)) : outcome);
     });
 }
@@ -206,7 +202,7 @@
     const Rollout &rollout = state_.rollouts().at(service);
     logEvent(Event::RolloutChanged,
              { { "service", service },
-               { "version", rollout.targetVersion },
+               { "version", rollout.target },
                { "phase", phaseName(rollout.phase) } });
     switch (rollout.phase) {
     case Phase::Running:
@@ -385,7 +381,7 @@
     active.proposedAt = now;
     logEvent(Event::RolloutDecided,
              { { "service", rollout.service },
-               { "version", rollout.targetVersion },
+               { "version", rollout.target },
                { "phase", phaseName(phase) },
                { "reason", reason } });
     Rollout next = rollout;
--- a/src/coordination/rollouts_test.cpp
+++ b/src/coordination/rollouts_test.cpp
@@ -297,7 +297,7 @@
     const ChangeOutcome other = order("v3");
     ASSERT_TRUE(std::holds_alternative<Failure>(other));
     EXPECT_EQ(std::get<Failure>(other).code, ResultCode::RolloutInProgress);
-    EXPECT_EQ(state_.rollouts().at("orders").targetVersion, "v2");
+    EXPECT_EQ(state_.rollouts().at("orders").target, "v2");
     advanceTo(Phase::Completed);
     EXPECT_TRUE(std::holds_alternative<Committed>(order("v2")));
     EXPECT_EQ(phase(), Phase::Completed);
--- a/src/coordination/viewcodec.cpp
+++ b/src/coordination/viewcodec.cpp
@@ -23,7 +23,7 @@
 
 bool isReadableName(const std::string &name)
 {
-    const bool readable = !name.empty() && isPlainText(name);
+    const bool readable = isName(name);
     if (!readable) {
         logEvent(Event::UnreadableItemIgnored, { { "item", name } });
     }
@@ -32,9 +32,9 @@
 
 bool isReadable(const wire::FleetServer &message)
 {
-    const bool readable = !message.id().empty() && isPlainText(message.id())
-        && isPlainText(message.service()) && isPlainText(message.address())
-        && isPlainText(message.availability_zone()) && isPlainText(message.version());
+    const bool readable = isName(message.id()) && isPlainText(message.service())
+        && isPlainText(message.address()) && isPlainText(message.availability_zone())
+        && isPlainText(message.version());
     if (!readable) {
         logEvent(Event::UnreadableItemIgnored, { { "item", message.id() } });
     }
@@ -44,8 +44,7 @@
 bool isReadable(const wire::Rollout &message)
 {
     const auto isPlain = [](const std::string &version) { return isPlainText(version); };
-    const bool readable = !message.service().empty() && isPlainText(message.service())
-        && !message.target_version().empty() && isPlainText(message.target_version())
+    const bool readable = isName(message.service()) && isName(message.target_version())
         && std::all_of(message.replaced_versions().begin(), message.replaced_versions().end(),
                        isPlain)
         && message.phase() <= static_cast<std::uint32_t>(rollout::LastPhase);
@@ -55,11 +54,33 @@
     return readable;
 }
 
+std::set<std::string> readableZonesOutOfService(const wire::CoordinationState &state)
+{
+    std::set<std::string> zones;
+    for (const std::string &zone : state.zones_out()) {
+        if (isReadableName(zone)) {
+            zones.insert(zone);
+        }
+    }
+    return zones;
+}
+
+std::map<std::string, rollout::Rollout> readableRollouts(const wire::CoordinationState &state)
+{
+    std::map<std::string, rollout::Rollout> rollouts;
+    for (const wire::Rollout &message : state.rollouts()) {
+        if (isReadable(message)) {
+            rollouts[message.service()] = fromWire(message);
+        }
+    }
+    return rollouts;
+}
+
 wire::Rollout toWire(const rollout::Rollout &rollout)
 {
     wire::Rollout message;
     message.set_service(rollout.service);
-    message.set_target_version(rollout.targetVersion);
+    message.set_target_version(rollout.target);
     for (const std::string &version : rollout.replacedVersions) {
         message.add_replaced_versions(version);
     }
--- a/src/directory/directory.cpp
+++ b/src/directory/directory.cpp
@@ -16,7 +16,7 @@
 
 Result<void> checkName(const char *what, const std::string &name)
 {
-    if (name.empty() || !isPlainText(name)) {
+    if (!isName(name)) {
         return fail(ResultCode::AnnouncementInvalid,
                     std::string(what) + " is empty or is not plain text: " + name);
     }
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -85,8 +85,7 @@
     if (current == nullptr || next.orderedAtMs != current->orderedAtMs) {
         return next.phase == Phase::Running && (current == nullptr || isFinished(current->phase));
     }
-    const bool sameOrder =
-        next.targetVersion == current->targetVersion && next.durationMs == current->durationMs;
+    const bool sameOrder = next.target == current->target && next.durationMs == current->durationMs;
     switch (current->phase) {
     case Phase::Running:
         return sameOrder && (next.phase == Phase::Completing || next.phase == Phase::RolledBack);
@@ -102,7 +101,7 @@
 bool mayReceiveWithoutLeader(const Rollout &rollout, const std::string &version)
 {
     const bool movesOver = rollout.phase == Phase::Completing || rollout.phase == Phase::Completed;
-    if (version == rollout.targetVersion) {
+    if (version == rollout.target) {
         return movesOver;
     }
     return !movesOver || rollout.replacedVersions.count(version) == 0;
--- a/src/rollout/rollout.h
+++ b/src/rollout/rollout.h
@@ -39,7 +39,8 @@
 struct Rollout
 {
     std::string service;
-    std::string targetVersion;
+    // Version to which the service moves over.
+    std::string target;
     // The versions that served when the roll-out was ordered.
     std::set<std::string> replacedVersions;
     // Wall-clock time of the order in Unix milliseconds.
@@ -49,7 +50,7 @@
 
     auto tied() const
     {
-        return std::tie(service, targetVersion, replacedVersions, orderedAtMs, durationMs, phase);
+        return std::tie(service, target, replacedVersions, orderedAtMs, durationMs, phase);
     }
     friend bool operator==(const Rollout &a, const Rollout &b) { return a.tied() == b.tied(); }
 };
--- a/src/scheduler/internal/eventrate.h
+++ b/src/scheduler/internal/eventrate.h
@@ -1,6 +1,7 @@
 // Rate of events, as an exponentially decaying average over the last seconds.
 #pragma once
 
+#include "scheduler/internal/thresholds.h"
 #include "timer/timer.h"
 
 #include <algorithm>
@@ -23,7 +24,7 @@
     // The rate if nothing was recorded before `since`.
     double perSecondSince(Instant now, Instant since) const
     {
-        const double seconds = std::chrono::duration<double>(now - since).count();
+        const double seconds = toSeconds(now - since);
         return seconds <= 0 ? 0 : perSecond(now) / (1 - std::exp(-seconds / DecaySeconds));
     }
 
@@ -32,7 +33,7 @@
 
     double decayedCount(Instant now) const
     {
-        const double passed = std::chrono::duration<double>(now - updatedAt_).count();
+        const double passed = toSeconds(now - updatedAt_);
         return count_ * std::exp(-std::max(passed, 0.0) / DecaySeconds);
     }
 
--- a/src/scheduler/internal/state.h
+++ b/src/scheduler/internal/state.h
@@ -4,6 +4,7 @@
 #include "scheduler/internal/eventrate.h"
 #include "scheduler/internal/requestlimit.h"
 #include "scheduler/internal/serverhealth.h"
+#include "scheduler/internal/thresholds.h"
 #include "scheduler/internal/tokenbucket.h"
 #include "scheduler/internal/waitingqueue.h"
 #include "scheduler/internal/zonebalancer.h"
@@ -67,8 +68,8 @@
 
     void addStored(Instant now, const Limits &limits)
     {
-        const double windows = std::chrono::duration<double>(std::max(now - storedAt_, Duration(0)))
-            / std::chrono::duration<double>(limits.retryWindow);
+        const double windows =
+            toSeconds(std::max(now - storedAt_, Duration(0))) / toSeconds(limits.retryWindow);
         stored_ =
             std::min(stored_ + limits.retrySlack * StoredPerWindow * windows, limits.retrySlack);
         storedAt_ = std::max(storedAt_, now);
@@ -146,6 +147,10 @@
     {
         return now < std::max(info.coldStartUntil, zoneRestoreColdUntil);
     }
+    bool isWarmAndTrusted(Instant now) const
+    {
+        return !isWarmingUp(now) && health.failureProbability(now) < SuspicionThreshold;
+    }
 };
 
 struct ServiceState
--- a/src/scheduler/internal/thresholds.h
+++ b/src/scheduler/internal/thresholds.h
@@ -12,6 +12,14 @@
 constexpr double TrustThreshold = 0.12;
 constexpr Milliseconds InitialProbeInterval { 250 };
 
+// Lowest multiple of the usual latency that a server counts with, however fast it is.
+constexpr double MinSlowness = 0.5;
+
+inline double toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
 // Converts microseconds to a Duration.
 inline Duration toDuration(double microseconds)
 {
--- a/src/scheduler/internal/waitingqueue.cpp
+++ b/src/scheduler/internal/waitingqueue.cpp
@@ -137,7 +137,7 @@
     level.unlist(team);
     level.virtualTime = std::max(level.virtualTime, team.virtualStart);
     team.virtualStart += toMicroseconds(slotTime) / team.weight;
-    team.granted.record(now, std::chrono::duration<double>(slotTime).count());
+    team.granted.record(now, toSeconds(slotTime));
     level.list(team);
 }
 
--- a/src/scheduler/internal/waitingqueue.h
+++ b/src/scheduler/internal/waitingqueue.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "scheduler/internal/eventrate.h"
+#include "scheduler/internal/thresholds.h"
 #include "scheduler/scheduler.h"
 
 #include <array>
@@ -190,7 +191,7 @@
 public:
     void record(Instant now, std::uint32_t priority, Duration slotTime)
     {
-        rates_[priority].record(now, std::chrono::duration<double>(slotTime).count());
+        rates_[priority].record(now, toSeconds(slotTime));
     }
 
     // Number of slots that requests more urgent than `priority` keep in use.
--- a/src/scheduler/localloadbalancer.cpp
+++ b/src/scheduler/localloadbalancer.cpp
@@ -1,10 +1,14 @@
 #include "scheduler/scheduler.h"
 
+#include "scheduler/internal/thresholds.h"
+
 #include <algorithm>
 #include <cmath>
 
 namespace daisyhaven::scheduler {
 
+using internal::toSeconds;
+
 namespace {
 
 // Fractions of the tolerated requests per window that all VMs without a leader may use together:
@@ -53,11 +57,6 @@
         times.begin(), times.end(), [&](Instant at) { return at >= from && at <= until; }));
 }
 
-double toSeconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 } // namespace
 
 // ---- LocalServerStats ----
--- a/src/scheduler/scheduler.cpp
+++ b/src/scheduler/scheduler.cpp
@@ -231,9 +231,9 @@
 {
     checkOverdueSlots(now);
     crashRecords_->removeExpired(now);
+    updateAllZoneShares(now);
     for (auto &[name, service] : services_) {
         updateServerCounts(now, *service);
-        updateZoneShares(now, *service);
         for (auto &[id, server] : service->servers) {
             updateSuspicion(now, *server, "failure probability decayed over time");
         }
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -222,7 +222,8 @@
 // that the gate does not name are unaffected.
 struct VersionGate
 {
-    std::string targetVersion;
+    // Version to which the service moves over.
+    std::string target;
     std::set<std::string> replacedVersions;
     // Requests that the target version may receive in all, counted from the first gate of the
     // service; no limit if absent.
@@ -233,7 +234,7 @@
 
     auto tied() const
     {
-        return std::tie(targetVersion, replacedVersions, maxTargetRequests, replacedVersionsServe,
+        return std::tie(target, replacedVersions, maxTargetRequests, replacedVersionsServe,
                         reportsResults);
     }
     friend bool operator==(const VersionGate &a, const VersionGate &b)
@@ -340,7 +341,7 @@
     // Teams whose requests reach most of their rates.
     std::set<std::string> busyTeams(Instant now) const;
     // Shares of requests that should leave their zone, without those too small to matter.
-    std::vector<ZoneShare> zoneShares() const;
+    const std::vector<ZoneShare> &zoneShares() const { return zoneShares_; }
     // Sets the share of the entry VMs that this leader cannot reach. They admit requests by
     // themselves, so most of their share of the rates is reserved for them.
     void setUnreachableVmShare(Instant now, double share);
@@ -392,6 +393,8 @@
     bool isEligible(Instant now, const internal::ServiceState &service,
                     internal::ServerState &server, const SlotRequest &request,
                     bool hasWaitedLong) const;
+    // Neither the server nor its zone is being taken out.
+    bool isStaying(const internal::ServerState &server) const;
     bool isInService(const internal::ServerState &server) const;
     bool hasCapacity(Instant now, internal::ServerState &server) const;
     void grantSlot(Instant now, internal::ServerState &server, const SlotRequest &request);
@@ -421,6 +424,7 @@
     void rejectLastInOrder(Instant now, internal::ServiceState &service, std::uint32_t priority);
     void updateServerCounts(Instant now, internal::ServiceState &service);
     void updateZoneShares(Instant now, internal::ServiceState &service);
+    void updateAllZoneShares(Instant now);
     void recordZoneLatency(internal::ServiceState &service, const GrantedSlot &slot,
                            Duration latency);
 
@@ -443,6 +447,8 @@
     std::uint64_t lastSlotId_ = 0;
     std::uint64_t lastSelection_ = 0;
     std::uint64_t displacedRequestCount_ = 0;
+    // As of the last update of any service's shares.
+    std::vector<ZoneShare> zoneShares_;
     std::vector<Action> actions_;
 };
 
--- a/src/scheduler/serverselection.cpp
+++ b/src/scheduler/serverselection.cpp
@@ -12,6 +12,7 @@
 using internal::ServiceState;
 
 using internal::InitialProbeInterval;
+using internal::MinSlowness;
 using internal::SuspicionThreshold;
 using internal::TrustThreshold;
 
@@ -46,7 +47,6 @@
 constexpr double IdleServerBonus = 10;
 constexpr double CostJitter = 0.05;
 constexpr double MaxSlowness = 3;
-constexpr double MinSlowness = 0.5;
 
 constexpr Milliseconds MaxProbeInterval { 3000 };
 // Interval between probes with requests that are not idempotent.
@@ -98,10 +98,14 @@
 
 } // namespace
 
+bool Scheduler::isStaying(const ServerState &server) const
+{
+    return !server.info.draining && !server.leaving && evacuatedZones_.count(server.info.zone) == 0;
+}
+
 bool Scheduler::isInService(const ServerState &server) const
 {
-    return !server.info.draining && !server.leaving && !server.addressReassigned
-        && !server.blockedByVersion && evacuatedZones_.count(server.info.zone) == 0;
+    return isStaying(server) && !server.addressReassigned && !server.blockedByVersion;
 }
 
 bool Scheduler::hasCapacity(Instant now, ServerState &server) const
@@ -144,7 +148,7 @@
     }
     const Duration idleTime = now - server.lastGrantAt;
     if (request.idempotent) {
-        const double idleSeconds = std::chrono::duration<double>(idleTime).count();
+        const double idleSeconds = internal::toSeconds(idleTime);
         cost -= ExplorationBonusPerSecond * std::min(idleSeconds, MaxExplorationSeconds);
     }
     const Duration threshold = (request.idempotent ? IdleThreshold : NonIdempotentIdleThreshold)
@@ -252,14 +256,9 @@
 
 void Scheduler::updateZoneShares(Instant now, ServiceState &service)
 {
-    if (!service.zoneBalancer.isUpdateDue(now)) {
-        return;
-    }
     std::map<std::string, internal::ZoneRoom> rooms;
     for (const auto &[id, server] : service.servers) {
-        const bool usable = isInService(*server) && !server->isWarmingUp(now)
-            && server->health.failureProbability(now) < SuspicionThreshold;
-        if (usable) {
+        if (isInService(*server) && server->isWarmAndTrusted(now)) {
             internal::ZoneRoom &room = rooms[server->info.zone];
             const double slots = server->info.slots;
             const double slowness = std::clamp(server->health.slowness(), MinSlowness, MaxSlowness);
@@ -281,15 +280,25 @@
                                        latency - internal::toDuration(usual));
 }
 
-std::vector<ZoneShare> Scheduler::zoneShares() const
+// Every view that is sent holds the shares, so they are listed once for each update.
+void Scheduler::updateAllZoneShares(Instant now)
 {
-    std::vector<ZoneShare> shares;
+    bool updated = false;
+    for (auto &[name, service] : services_) {
+        if (service->zoneBalancer.isUpdateDue(now)) {
+            updateZoneShares(now, *service);
+            updated = true;
+        }
+    }
+    if (!updated) {
+        return;
+    }
+    zoneShares_.clear();
     for (const auto &[name, service] : services_) {
         for (const auto &[zones, share] : service->zoneBalancer.shares()) {
-            shares.push_back({ name, zones.first, zones.second, share });
+            zoneShares_.push_back({ name, zones.first, zones.second, share });
         }
     }
-    return shares;
 }
 
 } // namespace daisyhaven::scheduler
--- a/src/scheduler/slotresults.cpp
+++ b/src/scheduler/slotresults.cpp
@@ -15,6 +15,7 @@
 using internal::ServiceState;
 
 using internal::InitialProbeInterval;
+using internal::MinSlowness;
 using internal::SuspicionThreshold;
 using internal::TrustThreshold;
 
@@ -37,8 +38,6 @@
 // Limits the effect of a single slow request on the typical latency to this ratio.
 constexpr double MaxLatencyRatio = 4;
 constexpr double InitialLatencyMicroseconds = 150'000;
-// A server counts as at most this much faster than usual.
-constexpr double MinSlowness = 0.5;
 
 bool isInconclusive(Outcome outcome)
 {
--- a/src/scheduler/versiongate.cpp
+++ b/src/scheduler/versiongate.cpp
@@ -2,7 +2,6 @@
 #include "scheduler/scheduler.h"
 
 #include "scheduler/internal/state.h"
-#include "scheduler/internal/thresholds.h"
 
 namespace daisyhaven::scheduler {
 
@@ -19,14 +18,14 @@
 
 VersionRole roleOf(const VersionGate &gate, const std::string &version)
 {
-    if (version == gate.targetVersion) {
+    if (version == gate.target) {
         return VersionRole::Target;
     }
     return gate.replacedVersions.count(version) != 0 ? VersionRole::Replaced
                                                      : VersionRole::Unaffected;
 }
 
-bool targetVersionServes(const ServiceState &service)
+bool targetServes(const ServiceState &service)
 {
     const auto &limit = service.versionGate->maxTargetRequests;
     return !limit || service.targetRequests < *limit;
@@ -45,7 +44,7 @@
         server.blockedByVersion = false;
         break;
     case VersionRole::Target:
-        server.blockedByVersion = !targetVersionServes(service);
+        server.blockedByVersion = !targetServes(service);
         break;
     case VersionRole::Replaced:
         server.blockedByVersion = !service.versionGate->replacedVersionsServe;
@@ -96,10 +95,8 @@
         if (server->versionRole == VersionRole::Replaced) {
             load.replacedInFlight += server->inFlightCount();
         }
-        const bool usable = server->versionRole == VersionRole::Target && !server->info.draining
-            && !server->leaving && evacuatedZones_.count(server->info.zone) == 0
-            && !server->isWarmingUp(now)
-            && server->health.failureProbability(now) < internal::SuspicionThreshold;
+        const bool usable = server->versionRole == VersionRole::Target && isStaying(*server)
+            && server->isWarmAndTrusted(now);
         if (usable) {
             ++load.targetServers;
             load.targetSlots += server->info.slots;
@@ -120,7 +117,7 @@
         return;
     }
     ++service.targetRequests;
-    if (!internal::targetVersionServes(service)) {
+    if (!internal::targetServes(service)) {
         internal::applyVersionGate(service);
     }
 }
--- a/src/scheduler/zonebalancer.cpp
+++ b/src/scheduler/zonebalancer.cpp
@@ -1,5 +1,7 @@
 #include "scheduler/internal/zonebalancer.h"
 
+#include "scheduler/internal/thresholds.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -33,11 +35,6 @@
 constexpr std::uint32_t MinDistanceSamples = 200;
 constexpr double MinExcessWeight = 0.002;
 
-double toSeconds(Duration duration)
-{
-    return std::chrono::duration<double>(duration).count();
-}
-
 double ratioOrZero(double part, double whole)
 {
     return whole > 0 ? part / whole : 0;
--- a/src/text/text.cpp
+++ b/src/text/text.cpp
@@ -76,6 +76,11 @@
     return true;
 }
 
+bool isName(std::string_view text)
+{
+    return !text.empty() && isPlainText(text);
+}
+
 std::string toJsonText(const nlohmann::json &document, int indent)
 {
     return document.dump(indent, ' ', false, nlohmann::json::error_handler_t::replace);
--- a/src/text/text.h
+++ b/src/text/text.h
@@ -14,6 +14,9 @@
 // stand in a log line, a header field and a message. True for an empty text.
 bool isPlainText(std::string_view text);
 
+// Returns whether `text` can name something: plain text that is not empty.
+bool isName(std::string_view text);
+
 // Returns `document` as JSON text on one line, or indented by `indent` spaces. Unlike the library's
 // dump(), never throws for a string that is not UTF-8: what cannot be read is replaced by U+FFFD.
 std::string toJsonText(const nlohmann::json &document, int indent = -1);
--- a/tests/platform/names_test.py
+++ b/tests/platform/names_test.py
@@ -9,7 +9,7 @@
     "listenAddresses", "pathPrefix\"", "trafficSplit", "allowAnonymous", "apiKeys", "targetLatencyMs",
     "healthCheckPath", "X-Daisyhaven-Request-Deadline-Ms", "X-Daisyhaven-Not-Executed",
     "X-Daisyhaven-Expected-Instance", "X-Daisyhaven-Tenant-Id", "X-Daisyhaven-Request-Id",
-    "/evacuation/", "/instances/",
+    "/evacuation/", "/instances/", "/rollouts", "targetVersion", "durationS\"", "exposureShare", "rollbackMs",
 ]
 
 
