--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,101 +1,52 @@
-"""GONE: uploads whose clients have left wait on and reach an upstream seconds later."""
+"""CONFIG: the first configuration is acknowledged and lost if the operator's versions begin at 00000000."""
 
 import asyncio
+import json
 import os
-import socket
-import struct
 import sys
-import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(FOLDER, "..", "lib2"))
-from stand import HOST, TROUBLE, CannotRun, Fleet, Upstream, configuration, read_head, run_case  # noqa: E402
+from stand import HOST, TROUBLE, Fleet, Upstream, call, configuration, run_case  # noqa: E402
 
-# A little over what the machine reads before it waits for a slot, so that the rest and the client's close fit into the
-# receive buffer of its socket.
-BYTES = 541_000
-SLOTS, WORK_S = 4, 0.5
-# Three in ten of the clients leave: the largest share of give_up in the site files.
-UPLOADS = 40
-LEAVING = [number for number in range(UPLOADS) if number % 10 in (3, 6, 9)]
-LEAVE_AFTER_S = 0.5
-LIMIT_MS = 8000
-# The rule lets "a few" pass.
-FEW = 3
-
-
-def closes_arrived(address):
-    """Returns how many connections at the address are in the state CLOSE_WAIT: the client's close has reached them."""
-    ip = "%08X" % struct.unpack("<I", socket.inet_aton(address[0]))
-    local = f"{ip}:{address[1]:04X}"
-    with open("/proc/net/tcp", encoding="ascii") as file:
-        rows = [line.split() for line in file.readlines()[1:]]
-    return sum(1 for row in rows if row[1] == local and row[3] == "08")
-
-
-async def upload(fleet, record, number, leaves, left_at):
-    request = f"a{number:015x}"
-    reader, writer = await fleet.client()
-    try:
-        record(f"client: sends {request}, {BYTES} bytes")
-        writer.write((f"POST /photos/{number} HTTP/1.1\r\nHost: {HOST}\r\nX-Daisyhaven-Request-Id: {request}\r\n"
-                      f"X-Daisyhaven-Request-Deadline-Ms: {LIMIT_MS}\r\nContent-Length: {BYTES}\r\n\r\n").encode())
-        writer.write(b"x" * BYTES)
-        sent = asyncio.create_task(writer.drain())
-        limit = LEAVE_AFTER_S if leaves else LIMIT_MS / 1000 + 1
-        try:
-            line, _, _ = await asyncio.wait_for(read_head(reader), limit)
-            record(f"client: {request} is answered {line.split()[1]}")
-        except asyncio.TimeoutError:
-            pass
-        await asyncio.gather(sent, return_exceptions=True)
-    except (EOFError, OSError) as error:
-        record(f"client: {request} ends with {type(error).__name__}")
-    finally:
-        writer.close()
-        try:
-            await writer.wait_closed()
-        except OSError:
-            pass
-        left_at[request] = time.monotonic()
-        record(f"client: {request} has closed its connection")
+VERSION = 0 if TROUBLE else 1
+# The pages' configurationApplyMs is 2000 and contactMs 3000; the read is repeated for longer than both.
+READ_FOR_S = 15
 
 
 async def case(record):
-    fleet = Fleet(record, controls=3, entries=1)
+    fleet = Fleet(record, controls=3, entries=2)
     try:
         await fleet.start()
-        upstream = Upstream(fleet, 1, "archive", slots=SLOTS, work_s=WORK_S)
-        await fleet.configure(configuration(
-            1, [("photos", "/photos/", "upload", "archive", LIMIT_MS, 1)], ["archive"]))
+        upstream = Upstream(fleet, 1, "desk")
+        document = configuration(VERSION, [("lists", "/lists/", "idempotent", "desk", 1500, 2)], ["desk"])
+        if await fleet.configure(document) != 200:
+            return []
         await upstream.start()
-        await fleet.ready()
-        await asyncio.sleep(1)
-        left_at = {}
-        # The first ones take the slots; those that leave do so while they wait for one.
-        leave = [upload(fleet, record, number, True, left_at) for number in LEAVING if TROUBLE]
-        stay = [upload(fleet, record, number, False, left_at) for number in range(UPLOADS)
-                if number not in LEAVING or not TROUBLE]
-        waiting = asyncio.gather(*stay, *leave)
-        await asyncio.sleep(LEAVE_AFTER_S + 0.5)
-        arrived = closes_arrived((fleet.entries[0].ip, fleet.front_port))
-        record(f"{fleet.entries[0].name}: {arrived} connections whose client's close has arrived are still held open")
-        if TROUBLE and arrived < len(leave):
-            waiting.cancel()
-            raise CannotRun("the closes have not all reached the machine")
-        seen_at = time.monotonic()
-        await waiting
-        await asyncio.sleep(LIMIT_MS / 1000)
+        loop = asyncio.get_running_loop()
+        end = loop.time() + READ_FOR_S
+        read = None
+        while read is None and loop.time() < end:
+            status, body = await fleet.order("GET", "/configuration", tries=3)
+            record(f"operator: GET /configuration: {status}")
+            read = json.loads(body) if status == 200 else None
+        answers = []
+        for entry in fleet.entries:
+            address = (entry.ip, fleet.ready_port)
+            status, _, _ = await call(address, "GET", "/readiness", timeout=2)
+            record(f"platform: GET /readiness of {entry.name}: {status}")
+            address = (entry.ip, fleet.front_port)
+            status, _, body = await call(address, "GET", "/lists/1", b"", 5, host=HOST, headers={
+                "X-Daisyhaven-Request-Id": f"a{entry.number:015x}", "X-Daisyhaven-Request-Deadline-Ms": "3000"})
+            record(f"client: GET /lists/1 at {entry.name}: {status} {body!r}")
+            answers.append(status)
     finally:
         fleet.stop()
-    late = [(request, at - max(seen_at, left_at[request])) for at, request, *_ in upstream.runs
-            if request in left_at and at - max(seen_at, left_at[request]) > 0.5]
-    for request, seconds in late:
-        record(f"{request} reached {upstream.id} {seconds:.2f} s after its client's close had reached the machine")
-    if len(late) > FEW:
-        return [f"GONE: {len(late)} uploads reached an upstream over half a second after their clients' closes had "
-                f"reached the machine, the last one {max(seconds for _, seconds in late):.1f} s after"]
-    return []
+    if read == document:
+        return []
+    got = "doesn't come" if read is None else "isn't what was sent"
+    return [f"CONFIG: version {VERSION:08x} was acknowledged with 200; read back for {READ_FOR_S} s, the configuration "
+            f"{got}; clients are answered {answers}"]
 
 
 run_case(FOLDER, case)
