--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -17,6 +17,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 BINARY = os.path.join(ROOT, "target", "bin", "daisyhaven")
@@ -416,9 +417,9 @@
     record = Record(folder)
     try:
         breaks = asyncio.run(asyncio.wait_for(case(record), seconds))
-    except (CannotRun, asyncio.TimeoutError) as error:
+    except Exception as error:  # whatever it is, the case says nothing about the rule
         record(f"the case couldn't run: {error!r}")
-        print(f"couldn't run: {error!r}")
+        traceback.print_exc()
         sys.exit(2)
     for line in breaks:
         record(f"BROKEN: {line}")
