--- a/review/lib2/stand.py
+++ b/review/lib2/stand.py
@@ -57,6 +57,22 @@
             s.close()
 
 
+def free_range(ip, count):
+    """Returns the first of `count` ports in a row that are free on the address now."""
+    while True:
+        first = random.randint(20000, 30000)
+        sockets = [socket.socket() for _ in range(count)]
+        try:
+            for number, s in enumerate(sockets):
+                s.bind((ip, first + number))
+            return first
+        except OSError:
+            continue
+        finally:
+            for s in sockets:
+                s.close()
+
+
 async def wait_for(condition, seconds, what):
     end = time.monotonic() + seconds
     while time.monotonic() < end:
@@ -175,7 +191,7 @@
         self.tolerance = tolerance
         self.net = f"127.{random.randint(20, 250)}"
         self.control_port, self.front_port, self.ready_port = free_ports(f"{self.net}.0.1", 3)
-        self.inner_port = random.randint(20000, 30000)
+        self.inner_port = free_range(f"{self.net}.0.1", 16)
         self.seeds = list(range(1, min(controls, 3) + 1))
         self.controls = [Process(self, "control", n) for n in range(controls)]
         self.entries = [Process(self, "entry", n) for n in range(entries)]
