A configuration of version 0 is stored: presence is explicit, 0 is a version

What callers saw: the first configuration, with version, was acknowledged with 200 and lost.

Cause: 0 stood for "none stored".

Evidence: the log had no ChangeAccepted, and entry VMs never asked for a document. The metric could not tell (0 either way); daisyhaven_configuration_stored and _held now do.

Change: DurableState holds one std::optional<StoredConfiguration> that all paths ask; versions in views, downloads and the header between relays are optional; the messages have explicit presence. What earlier releases wrote reads as before, since they left 0 out and never stored it. Zones ordered before the first configuration reach the VMs; the same question kept them back, and VMs asked without a pause.

--- a/src/consensus/consensus.h
+++ b/src/consensus/consensus.h
@@ -211,6 +211,8 @@
     // Returns the bytes of the payloads of all entries after the snapshot.
     std::size_t logBytes() const;
     const Members &members() const { return members_; }
+    // Index of the log entry with the latest members, or of the snapshot that holds them.
+    std::uint64_t membershipIndex() const { return membershipIndex_; }
     // Returns the leader, if known.
     std::optional<MemberInfo> leader() const;
     const MemberInfo &self() const { return self_; }
--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -110,7 +110,7 @@
             done(leaderRedirect());
             return;
         }
-        if (version <= state_.version()) {
+        if (!state_.isNewer(version)) {
             done(Committed {});
             return;
         }
@@ -122,10 +122,10 @@
 
     std::variant<StoredConfiguration, LeaderRedirect> readConfiguration() const
     {
-        if (!isLeading() || state_.version() == 0) {
+        if (!isLeading() || !state_.configuration()) {
             return leaderRedirect();
         }
-        return StoredConfiguration { state_.version(), state_.document() };
+        return *state_.configuration();
     }
 
     void setZoneOutOfService(const std::string &zone, bool outOfService, const ChangeCallback &done)
@@ -221,9 +221,13 @@
         std::map<std::string, double> values = {
             { "daisyhaven_leads", isLeading() ? 1 : 0 },
             { "daisyhaven_term", static_cast<double>(runner_.replica().term()) },
-            { "daisyhaven_configuration_version", static_cast<double>(state_.version()) },
+            { "daisyhaven_configuration_stored", state_.configuration() ? 1 : 0 },
+            { "daisyhaven_configuration_version",
+              state_.configuration() ? static_cast<double>(state_.configuration()->version) : 0 },
             { "daisyhaven_control_members",
               static_cast<double>(runner_.replica().members().size()) },
+            { "daisyhaven_control_membership_index",
+              static_cast<double>(runner_.replica().membershipIndex()) },
             { "daisyhaven_servers_known", static_cast<double>(directory_.entries().size()) },
             { "daisyhaven_entry_vms", static_cast<double>(entryVms_.recentCount(timers_.now())) },
             { "daisyhaven_questions_waiting",
@@ -353,8 +357,8 @@
 
     void recordDocument()
     {
-        if (state_.version() > 0) {
-            documents_.add(state_.version(), state_.document());
+        if (const auto &configuration = state_.configuration()) {
+            documents_.add(configuration->version, configuration->document);
         }
     }
 
@@ -367,7 +371,7 @@
         case DurableState::Change::Servers:
             return;
         case DurableState::Change::Document:
-            logEvent(Event::ChangeAccepted, { { "version", state_.version() } });
+            logEvent(Event::ChangeAccepted, { { "version", storedVersionText() } });
             applyRoutingTable({});
             scheduleViewUpdate();
             break;
@@ -404,13 +408,14 @@
 
     void applyRoutingTable(const scheduler::InitialTokens &firstTokens)
     {
-        if (state_.document().empty()) {
+        if (!state_.configuration()) {
             return;
         }
-        const auto table = routing::parseCompletely(options_.documentParser(state_.document()));
+        const auto table =
+            routing::parseCompletely(options_.documentParser(state_.configuration()->document));
         if (const auto *failure = std::get_if<Failure>(&table)) {
             logEvent(Event::ChangeRefused,
-                     { { "version", state_.version() }, { "reason", toString(*failure) } });
+                     { { "version", storedVersionText() }, { "reason", toString(*failure) } });
             return;
         }
         routingTable_ =
@@ -442,7 +447,13 @@
                  { { "leader", "self" },
                    { "epoch", epoch },
                    { "servers", directory_.entries().size() },
-                   { "version", state_.version() } });
+                   { "version", storedVersionText() } });
+    }
+
+    std::string storedVersionText() const
+    {
+        const auto &configuration = state_.configuration();
+        return versionText(configuration ? std::optional(configuration->version) : std::nullopt);
     }
 
     // Unless this replica was the last leader, the directory comes from the log and from the view.
@@ -689,11 +700,11 @@
             || watcher.documentIndex < state_.lastChangeIndex();
     }
 
-    // Adds the version and the zones out of service, and the document for a VM of an earlier
-    // release.
+    // Adds the version, the zones out of service and the roll-outs, which may be ordered before the
+    // first configuration, and the document for a VM of an earlier release.
     void addState(const Watcher &watcher, wire::FleetViewReply *reply) const
     {
-        if (state_.version() > 0 && watcher.documentIndex < state_.lastChangeIndex()) {
+        if (watcher.documentIndex < state_.lastChangeIndex()) {
             reply->set_has_document(true);
             reply->set_document_index(state_.lastChangeIndex());
             *reply->mutable_state() = state_.toViewState(!watcher.downloadsDocuments);
--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -31,6 +31,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -54,7 +55,8 @@
     std::map<std::string, scheduler::KnownServer> servers;
     // Index of the log entry that last changed the configuration or the zones out of service.
     std::uint64_t documentIndex = 0;
-    std::uint64_t configurationVersion = 0;
+    // Version of `routingTable`; empty until the first configuration has arrived.
+    std::optional<std::uint64_t> configurationVersion;
     std::shared_ptr<const routing::RoutingTable> routingTable;
     std::set<std::string> zonesOutOfService;
     // The newest roll-out of each service that had one.
@@ -205,13 +207,24 @@
 
 using ChangeOutcome = std::variant<Committed, LeaderRedirect, Failure>;
 
+// A committed configuration. Operators choose the versions, and the first one may be 0: whether
+// there is a configuration is told by a std::optional, never by its version.
 struct StoredConfiguration
 {
     std::uint64_t version = 0;
     // The document exactly as passed to putConfiguration().
     std::string document;
+
+    auto tied() const { return std::tie(version, document); }
+    friend bool operator==(const StoredConfiguration &a, const StoredConfiguration &b)
+    {
+        return a.tied() == b.tied();
+    }
 };
 
+// Returns the version for a log line: "none" if there is no configuration.
+std::string versionText(const std::optional<std::uint64_t> &version);
+
 constexpr Seconds MaxRolloutDuration { 24 * 3600 };
 
 // An order to move a service over to another version of its servers.
--- a/src/coordination/durablestate.cpp
+++ b/src/coordination/durablestate.cpp
@@ -18,11 +18,10 @@
                                          const wire::CoordinationCommand &command)
 {
     if (command.has_configuration()) {
-        if (command.configuration().version() <= version_) {
+        if (!isNewer(command.configuration().version())) {
             return Change::None;
         }
-        version_ = command.configuration().version();
-        document_ = command.configuration().document();
+        configuration_ = { command.configuration().version(), command.configuration().document() };
         lastChangeIndex_ = index;
         return Change::Document;
     }
@@ -113,9 +112,11 @@
 wire::CoordinationState DurableState::toViewState(bool withDocument) const
 {
     wire::CoordinationState state;
-    state.set_version(version_);
-    if (withDocument) {
-        state.set_document(document_);
+    if (configuration_) {
+        state.set_version(configuration_->version);
+    }
+    if (configuration_ && withDocument) {
+        state.set_document(configuration_->document);
     }
     state.set_index(lastChangeIndex_);
     for (const std::string &zone : zonesOutOfService_) {
@@ -149,8 +150,9 @@
         return fail(ResultCode::RecordDamaged,
                     "the snapshot of the replicated log cannot be parsed");
     }
-    version_ = state.version();
-    document_ = state.document();
+    if (state.has_version()) {
+        configuration_ = { state.version(), state.document() };
+    }
     lastChangeIndex_ = state.index();
     zonesOutOfService_ = readableZonesOutOfService(state);
     servers_.clear();
--- a/src/coordination/internal/documentdownload.h
+++ b/src/coordination/internal/documentdownload.h
@@ -34,8 +34,8 @@
     // Holds a document that was received by other means.
     void hold(ConfigurationDocument document);
 
-    // Returns whether a newer version exists than the one that is held.
-    bool isNeeded() const { return wantedVersion_ > held_.version; }
+    // Returns whether a newer version exists than the one that is held, if one is.
+    bool isNeeded() const { return wantedVersion_ > heldVersion(); }
 
     // Returns whether a part of the needed version was received.
     bool isUnderWay() const { return !received_.empty(); }
@@ -48,14 +48,21 @@
     Result<std::optional<ConfigurationDocument>> add(const wire::DocumentChunk &chunk);
 
 private:
-    void startOver(std::uint64_t baseVersion, std::uint64_t version);
+    using OptionalVersion = std::optional<std::uint64_t>;
+
+    OptionalVersion heldVersion() const
+    {
+        return held_ ? OptionalVersion(held_->version) : std::nullopt;
+    }
+    void startOver(OptionalVersion baseVersion, OptionalVersion version);
     Result<ConfigurationDocument> decode() const;
 
-    ConfigurationDocument held_;
-    std::uint64_t wantedVersion_ = 0;
-    // Base that the next requests name: the held version, or 0 after a damaged update.
-    std::uint64_t baseVersion_ = 0;
-    std::uint64_t version_ = 0;
+    std::optional<ConfigurationDocument> held_;
+    OptionalVersion wantedVersion_;
+    // Base that the next requests name: the held version, or none after a damaged update.
+    OptionalVersion baseVersion_;
+    // Version of the update under way; empty while none is.
+    OptionalVersion version_;
     std::string received_;
 };
 
--- a/src/coordination/internal/documenthistory.h
+++ b/src/coordination/internal/documenthistory.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -26,7 +27,7 @@
     void add(std::uint64_t version, const std::string &document);
 
     // Returns the requested part of an update, or the first part of the update to the newest
-    // version if the requested one is not held. Returns an empty chunk of version 0 if there is no
+    // version if the requested one is not held. Returns a chunk without a version if there is no
     // document.
     wire::DocumentChunk chunk(const wire::DocumentRequest &request);
 
@@ -40,10 +41,11 @@
         std::string text;
     };
 
-    // Versions before and after an update; the first is 0 for a whole document.
-    using Step = std::pair<std::uint64_t, std::uint64_t>;
+    // Versions before and after an update; the first is empty for a whole document.
+    using Step = std::pair<std::optional<std::uint64_t>, std::uint64_t>;
 
-    const Document *find(std::uint64_t version) const;
+    // Returns null if there is no version or the document is not held.
+    const Document *find(const std::optional<std::uint64_t> &version) const;
     const std::string &encodedUpdate(const Step &step);
     void dropOldDocuments();
     void dropOldUpdates();
--- a/src/coordination/internal/durablestate.h
+++ b/src/coordination/internal/durablestate.h
@@ -5,6 +5,7 @@
 // left out.
 #pragma once
 
+#include "coordination/coordination.h"
 #include "directory/directory.h"
 #include "peer/generated/peer.pb.h"
 #include "result/result.h"
@@ -12,6 +13,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -25,14 +27,20 @@
 
     Change apply(std::uint64_t index, const wire::CoordinationCommand &command);
     std::string toSnapshot() const { return toWire().SerializeAsString(); }
-    // An empty snapshot is the state before the first command. Errors: RecordDamaged.
+    // An empty snapshot is the state before the first command. A configuration is kept if the
+    // snapshot has none: releases that took version 0 for none left it out. Errors: RecordDamaged.
     Result<void> restore(const std::string &snapshot);
     // Returns the version, the zones out of service, the roll-outs and, if `withDocument`, the
     // document: the part of the state that all VMs need.
     wire::CoordinationState toViewState(bool withDocument) const;
 
-    std::uint64_t version() const { return version_; }
-    const std::string &document() const { return document_; }
+    // The newest configuration; empty until one is committed. Any version may be the first one.
+    const std::optional<StoredConfiguration> &configuration() const { return configuration_; }
+    // Returns whether `version` is newer than the stored configuration, if there is one.
+    bool isNewer(std::uint64_t version) const
+    {
+        return !configuration_ || version > configuration_->version;
+    }
     const std::set<std::string> &zonesOutOfService() const { return zonesOutOfService_; }
     const std::deque<directory::Deregistration> &deregistrations() const
     {
@@ -50,8 +58,7 @@
     Change recordRollout(std::uint64_t index, const wire::Rollout &message);
     void recordDeregistration(directory::Deregistration deregistration);
 
-    std::uint64_t version_ = 0;
-    std::string document_;
+    std::optional<StoredConfiguration> configuration_;
     std::set<std::string> zonesOutOfService_;
     std::deque<directory::Deregistration> deregistrations_;
     std::map<std::string, wire::FleetServer> servers_;
--- a/src/coordination/leaderclient.cpp
+++ b/src/coordination/leaderclient.cpp
@@ -432,6 +432,9 @@
         view_.rollouts = readableRollouts(state);
         notifyConfigurationChanged();
         documentSource_ = address;
+        if (!state.has_version()) {
+            return;
+        }
         if (!state.document().empty() && state.version() > view_.configurationVersion) {
             documents_.receive({ state.version(), state.document(), 0 });
         }
@@ -449,7 +452,7 @@
     void notifyConfigurationChanged() const
     {
         logEvent(Event::ConfigurationApplied,
-                 { { "version", view_.configurationVersion },
+                 { { "version", versionText(view_.configurationVersion) },
                    { "zonesOut", view_.zonesOutOfService.size() },
                    { "index", view_.documentIndex } });
         if (callbacks_.configurationChanged) {
@@ -482,6 +485,11 @@
     TimerHandle maintenance_;
 };
 
+std::string versionText(const std::optional<std::uint64_t> &version)
+{
+    return version ? std::to_string(*version) : "none";
+}
+
 std::set<std::string> serversBlockedByRollout(const FleetView &view, const std::string &service)
 {
     std::set<std::string> blocked;
--- a/src/gateway/exchangecompletion.cpp
+++ b/src/gateway/exchangecompletion.cpp
@@ -79,7 +79,7 @@
                { "leader", context_.leader.hasLeader() ? "yes" : "no" },
                { "epoch", view.epoch },
                { "viewSequence", view.sequence },
-               { "version", view.configurationVersion } });
+               { "version", coordination::versionText(view.configurationVersion) } });
 }
 
 void Exchange::logIfLate() const
--- a/src/gateway/exchangerelay.cpp
+++ b/src/gateway/exchangerelay.cpp
@@ -10,6 +10,16 @@
 
 constexpr std::size_t MaxRelaysPerRequest = 6;
 
+// Returns the version of the configuration that the sending VM holds; empty if it names none.
+std::optional<std::uint64_t> versionOfSender(const http::Headers &headers)
+{
+    const std::string *field = headers.find(RelayVersionHeader);
+    std::uint64_t version = 0;
+    const bool readable = field != nullptr
+        && std::from_chars(field->data(), field->data() + field->size(), version).ec == std::errc();
+    return readable ? std::optional(version) : std::nullopt;
+}
+
 // Returns the number in a header field, or 0 if it is missing or invalid.
 std::uint64_t numberOrZero(const http::Headers &headers, const char *name)
 {
@@ -27,8 +37,7 @@
 
 Result<void> Exchange::readRelayHeaders()
 {
-    if (numberOrZero(head_.headers, RelayVersionHeader)
-        > context_.leader.view().configurationVersion) {
+    if (versionOfSender(head_.headers) > context_.leader.view().configurationVersion) {
         return fail(ResultCode::NotReady, "the VM that sent it holds a newer configuration");
     }
     sentAttempts_ = static_cast<std::uint32_t>(numberOrZero(head_.headers, RelayAttemptsHeader));
@@ -97,7 +106,7 @@
     replaced.add(RelayTokenHeader, "");
     addForwardedHeaders(replaced, &request.headers);
     request.headers.add(RelayVersionHeader,
-                        std::to_string(context_.leader.view().configurationVersion));
+                        coordination::versionText(context_.leader.view().configurationVersion));
     request.headers.add(RelayAttemptsHeader, std::to_string(sentAttempts_));
     request.headers.add(RelayTokenHeader, hasRateToken_ ? "1" : "0");
     return request;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -224,8 +224,9 @@
         metrics_.setGauge("daisyhaven_idle_server_connections", {},
                           static_cast<double>(pool_.size()));
         metrics_.setGauge("daisyhaven_view_epoch", {}, static_cast<double>(view.epoch));
+        metrics_.setGauge("daisyhaven_configuration_held", {}, view.configurationVersion ? 1 : 0);
         metrics_.setGauge("daisyhaven_configuration_version", {},
-                          static_cast<double>(view.configurationVersion));
+                          static_cast<double>(view.configurationVersion.value_or(0)));
         metrics_.setGauge("daisyhaven_has_leader", {}, leader_.hasLeader() ? 1 : 0);
         metrics_.setGauge("daisyhaven_servers_unreachable", {},
                           reachability_.isAnyDisconnected() ? 1 : 0);
