Control VMs that are gone give way by joint consensus, one replica for another

Cause: a replica that asked to join became a sixth member beside the one that it succeeded, and of six the first that had been silent for 3 s was removed: the dark VM, which came back as a sixth again, while the dead one stayed. Its removal needed 3 s of silence under one leader, and each new leader counted anew. Three of six were gone then, of which two counted as lost.

Change: a request to join is evidence that a member is gone. The replica catches up as a learner and takes a member's place in one change by joint consensus: that of the former identity at its address, else of the longest silent one (1 s). The group gets no sixth voter and is never smaller than configured, also when a disk is lost. A VM that was replaced while it was dark asks 0.7 s after its return and takes the place of the one that is gone. Learners whose request expired no longer keep others from joining. Builds that know no roles take the two of a replacement for voters, whose majority meets both others. ControlMemberDecided and two metrics say who comes, goes and waits.

Tests: two tests of coordination_test waited for the group to be smaller for a moment; it no longer is. They now wait until all replicas hold the change and fail if the group was smaller. A newcomer to a full group used to be added at once; the cases of MembershipControllerTest say what holds now.

--- a/src/consensus/consensus.h
+++ b/src/consensus/consensus.h
@@ -1,5 +1,7 @@
 // A replicated log with majority quorums in the manner of Raft: terms, pre-vote, leader election,
-// snapshots and single-member membership changes.
+// snapshots and changes of single members. A member is replaced by another one in joint consensus:
+// from the entry with both until the entry that ends it, every decision needs a majority of the
+// voters before and one of the voters after the replacement.
 //
 // A Replica is a state machine: its inputs are messages, proposals and the current time, and its
 // outputs are actions, in the order in which they must be executed. A Persist action must be on
@@ -30,14 +32,23 @@
 
 namespace daisyhaven::consensus {
 
+// The part that a member has in a replacement that is under way. Stored in logs: a release without
+// joint consensus takes all of them for voters, whose majority meets both majorities.
+enum class MemberRole : std::uint8_t {
+    Voter = 0, // before and after the replacement
+    Incoming = 1, // votes only after it
+    Outgoing = 2, // votes only before it
+};
+
 // A replica: its VM, the ID of its data folder and its peer address.
 struct MemberInfo
 {
     std::string vm;
     std::string replicaId;
     std::string peerAddress;
+    MemberRole role = MemberRole::Voter;
 
-    auto tied() const { return std::tie(vm, replicaId, peerAddress); }
+    auto tied() const { return std::tie(vm, replicaId, peerAddress, role); }
     friend bool operator==(const MemberInfo &a, const MemberInfo &b)
     {
         return a.tied() == b.tied();
@@ -184,11 +195,21 @@
 
     // Appends a command and returns its index. Errors: NotLeader.
     Result<std::uint64_t> propose(Instant now, std::string payload);
-    // Adds or removes a member. A new member is added only after it has caught up. Errors:
-    // NotLeader, VersionConflict if another membership change is in progress; removeMember() also
-    // FloorViolated if `replicaId` is the last member.
+    // Sets the replicas that receive the log without a vote. Does nothing on other replicas than
+    // the leader.
+    void setLearners(Instant now, const Members &learners);
+    // Returns whether a learner of this leader has held every committed entry and still replies.
+    bool isCaughtUp(Instant now, const std::string &replicaId) const;
+    // Adds or removes a member. A new member is added only after it has caught up as a learner.
+    // Errors: NotLeader, VersionConflict if another membership change is in progress;
+    // removeMember() also FloorViolated if `replicaId` is the last member.
     Result<void> addMember(Instant now, const MemberInfo &member);
     Result<void> removeMember(Instant now, const std::string &replicaId);
+    // Replaces the member `outgoing` by a learner that has caught up. The number of voters stays as
+    // it is. Errors: NotLeader, VersionConflict if another membership change is in progress, or
+    // `outgoing` is no member, or `incoming` is one or has not caught up.
+    Result<void> replaceMember(Instant now, const std::string &outgoing,
+                               const MemberInfo &incoming);
     // Replaces the log up to `index` by a snapshot with `state`, the applied state at that index.
     void compact(std::uint64_t index, std::string state);
 
@@ -231,6 +252,8 @@
         // Entries or a snapshot up to `awaitedIndex` are on the way.
         bool awaitingReply = false;
         std::uint64_t awaitedIndex = 0;
+        // The replica has held every entry that was committed at that time.
+        bool hasCaughtUp = false;
     };
 
     void becomeFollower(Instant now, std::uint64_t term, const std::string &leader);
@@ -248,16 +271,26 @@
     void handleAppend(Instant now, const Message &message);
     void handleAppendReply(Instant now, const Message &message);
     void handleSnapshot(Instant now, const Message &message);
-    void advanceCommitIndex();
+    void advanceCommitIndex(Instant now);
+    void finishReplacement(Instant now);
     void commitThrough(std::uint64_t index);
     void appendAsLeader(Instant now, Entry entry);
+    void addLearner(Instant now, const MemberInfo &learner);
     void promoteLearnerIfCaughtUp(Instant now);
     void persistHardState();
     void updateMembersFromLog();
     bool isLogUpToDate(std::uint64_t index, std::uint64_t term) const;
     std::optional<std::uint64_t> termAt(std::uint64_t index) const;
     const Entry &entryAt(std::uint64_t index) const;
-    std::size_t quorumSize() const { return members_.size() / 2 + 1; }
+    // Returns the greatest value that a quorum reaches; `valueOf` returns that of a member. While a
+    // member is replaced, a quorum has a majority before and one after the replacement.
+    template <class ValueOf> auto quorumValue(ValueOf valueOf) const;
+    template <class ValueOf> auto majorityValue(MemberRole excluded, ValueOf valueOf) const;
+    bool hasVotesOfQuorum() const;
+    // Returns the time of the latest request to which a quorum has replied.
+    Instant quorumContactAt(Instant now) const;
+    bool canChangeMembers() const;
+    bool isReplacing() const;
     bool containsMember(const std::string &replicaId) const;
     std::string addressOf(const std::string &replicaId) const;
 
@@ -272,7 +305,10 @@
     std::uint64_t commitIndex_ = 0;
     Members members_;
     std::uint64_t membershipIndex_ = 0;
-    std::optional<MemberInfo> learner_;
+    // Replicas that receive the log without a vote, by ID; kept by the leader.
+    std::map<std::string, MemberInfo> learners_;
+    // The learner that becomes a member once it has caught up.
+    std::optional<MemberInfo> promoted_;
     std::map<std::string, Progress> progress_;
     std::set<std::string> votes_;
     Instant electionDeadline_;
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -74,7 +74,43 @@
             return member.peerAddress;
         }
     }
-    return learner_ && learner_->replicaId == replicaId ? learner_->peerAddress : "";
+    const auto learner = learners_.find(replicaId);
+    return learner == learners_.end() ? "" : learner->second.peerAddress;
+}
+
+template <class ValueOf> auto Replica::majorityValue(MemberRole excluded, ValueOf valueOf) const
+{
+    std::vector<decltype(valueOf(std::declval<const MemberInfo &>()))> values;
+    for (const MemberInfo &member : members_) {
+        if (member.role != excluded) {
+            values.push_back(valueOf(member));
+        }
+    }
+    std::sort(values.rbegin(), values.rend());
+    return values[values.size() / 2];
+}
+
+template <class ValueOf> auto Replica::quorumValue(ValueOf valueOf) const
+{
+    const auto before = majorityValue(MemberRole::Incoming, valueOf);
+    const auto after = majorityValue(MemberRole::Outgoing, valueOf);
+    return std::min(before, after);
+}
+
+bool Replica::hasVotesOfQuorum() const
+{
+    return quorumValue([this](const MemberInfo &member) { return votes_.count(member.replicaId); })
+        == 1;
+}
+
+Instant Replica::quorumContactAt(Instant now) const
+{
+    return quorumValue([&](const MemberInfo &member) {
+        const auto progress = progress_.find(member.replicaId);
+        const Instant contact =
+            progress == progress_.end() ? Instant() : progress->second.lastContactAt;
+        return member.replicaId == self_.replicaId ? now : contact;
+    });
 }
 
 std::optional<MemberInfo> Replica::leader() const
@@ -147,7 +183,8 @@
 {
     if (role_ == Role::Leader) {
         actions_.emplace_back(SteppedDown { hardState_.term });
-        learner_.reset();
+        learners_.clear();
+        promoted_.reset();
         resetElectionTimer(now);
     }
     role_ = Role::Follower;
@@ -161,15 +198,8 @@
 void Replica::tick(Instant now)
 {
     if (role_ == Role::Leader) {
-        std::vector<Instant> contactTimes;
-        for (const MemberInfo &member : members_) {
-            const bool own = member.replicaId == self_.replicaId;
-            contactTimes.push_back(own ? now : progress_[member.replicaId].lastContactAt);
-        }
-        std::sort(contactTimes.rbegin(), contactTimes.rend());
-        const bool lostMajority =
-            now - contactTimes[quorumSize() - 1] > timings_.minElectionTimeout;
-        if (lostMajority) {
+        const bool lostQuorum = now - quorumContactAt(now) > timings_.minElectionTimeout;
+        if (lostQuorum) {
             becomeFollower(now, hardState_.term, "");
             return;
         }
@@ -190,7 +220,7 @@
     leader_.clear();
     votes_ = { self_.replicaId };
     ++electionSequence_;
-    if (votes_.size() >= quorumSize()) {
+    if (hasVotesOfQuorum()) {
         startElection(now);
         return;
     }
@@ -218,7 +248,7 @@
     votes_ = { self_.replicaId };
     minTimeSinceLeaderContact_ = now - lastLeaderContactAt_;
     ++electionSequence_;
-    if (votes_.size() >= quorumSize()) {
+    if (hasVotesOfQuorum()) {
         becomeLeader(now);
         return;
     }
@@ -268,7 +298,7 @@
     const std::uint64_t index = entry.index;
     actions_.emplace_back(PersistEntries { index, { std::move(entry) } });
     progress_[self_.replicaId].matchIndex = index;
-    advanceCommitIndex();
+    advanceCommitIndex(now);
     broadcastAppend(now);
 }
 
@@ -289,28 +319,128 @@
     if (role_ != Role::Leader) {
         return fail(ResultCode::NotLeader, "");
     }
-    const bool changeInProgress = membershipIndex_ > commitIndex_
-        || commitIndex_ < firstIndexOfTerm_ || (learner_ && !(*learner_ == member));
-    if (changeInProgress) {
+    const bool otherPromoted = promoted_ && !(*promoted_ == member);
+    if (!canChangeMembers() || otherPromoted) {
         return fail(ResultCode::VersionConflict, "another membership change is in progress");
     }
     if (containsMember(member.replicaId)) {
         return {};
     }
-    learner_ = member;
-    Progress &progress = progress_[member.replicaId];
+    promoted_ = member;
+    addLearner(now, member);
+    promoteLearnerIfCaughtUp(now);
+    return {};
+}
+
+void Replica::addLearner(Instant now, const MemberInfo &learner)
+{
+    const bool known =
+        containsMember(learner.replicaId) || !learners_.emplace(learner.replicaId, learner).second;
+    if (known) {
+        return;
+    }
+    Progress progress;
     progress.nextIndex = lastIndex() + 1;
     progress.lastContactAt = now;
-    sendAppend(now, member);
+    progress_[learner.replicaId] = progress;
+    sendAppend(now, learner);
+}
+
+void Replica::setLearners(Instant now, const Members &learners)
+{
+    if (role_ != Role::Leader) {
+        return;
+    }
+    const auto isWanted = [&](const std::string &replicaId) {
+        return std::any_of(learners.begin(), learners.end(), [&](const MemberInfo &learner) {
+            return learner.replicaId == replicaId;
+        });
+    };
+    for (auto learner = learners_.begin(); learner != learners_.end();) {
+        learner = isWanted(learner->first) ? std::next(learner) : learners_.erase(learner);
+    }
+    if (promoted_ && !isWanted(promoted_->replicaId)) {
+        promoted_.reset();
+    }
+    for (const MemberInfo &learner : learners) {
+        addLearner(now, learner);
+    }
+}
+
+bool Replica::isCaughtUp(Instant now, const std::string &replicaId) const
+{
+    const auto progress = progress_.find(replicaId);
+    return learners_.count(replicaId) != 0 && progress != progress_.end()
+        && progress->second.hasCaughtUp
+        && now - progress->second.lastContactAt <= timings_.minElectionTimeout;
+}
+
+// A change begins once the previous one and the first entry of this leader's term are committed.
+bool Replica::canChangeMembers() const
+{
+    return membershipIndex_ <= commitIndex_ && commitIndex_ >= firstIndexOfTerm_ && !isReplacing();
+}
+
+bool Replica::isReplacing() const
+{
+    return std::any_of(members_.begin(), members_.end(),
+                       [](const MemberInfo &member) { return member.role != MemberRole::Voter; });
+}
+
+Result<void> Replica::replaceMember(Instant now, const std::string &outgoing,
+                                    const MemberInfo &incoming)
+{
+    if (role_ != Role::Leader) {
+        return fail(ResultCode::NotLeader, "");
+    }
+    if (!canChangeMembers()) {
+        return fail(ResultCode::VersionConflict, "another membership change is in progress");
+    }
+    const bool possible = containsMember(outgoing) && !containsMember(incoming.replicaId)
+        && isCaughtUp(now, incoming.replicaId);
+    if (!possible) {
+        return fail(ResultCode::VersionConflict,
+                    outgoing + " cannot be replaced by " + incoming.replicaId + " now");
+    }
+    Entry entry;
+    entry.kind = EntryKind::Membership;
+    entry.members = members_;
+    for (MemberInfo &member : entry.members) {
+        member.role = member.replicaId == outgoing ? MemberRole::Outgoing : MemberRole::Voter;
+    }
+    entry.members.push_back(incoming);
+    entry.members.back().role = MemberRole::Incoming;
+    learners_.erase(incoming.replicaId);
+    appendAsLeader(now, std::move(entry));
     return {};
 }
 
+// Appends the entry that ends a replacement, once the entry that began it is committed. A new
+// leader ends the replacement that its predecessor began.
+void Replica::finishReplacement(Instant now)
+{
+    const bool due = role_ == Role::Leader && isReplacing() && membershipIndex_ <= commitIndex_
+        && commitIndex_ >= firstIndexOfTerm_;
+    if (!due) {
+        return;
+    }
+    Entry entry;
+    entry.kind = EntryKind::Membership;
+    for (const MemberInfo &member : members_) {
+        if (member.role != MemberRole::Outgoing) {
+            entry.members.push_back(member);
+            entry.members.back().role = MemberRole::Voter;
+        }
+    }
+    appendAsLeader(now, std::move(entry));
+}
+
 Result<void> Replica::removeMember(Instant now, const std::string &replicaId)
 {
     if (role_ != Role::Leader) {
         return fail(ResultCode::NotLeader, "");
     }
-    if (membershipIndex_ > commitIndex_ || commitIndex_ < firstIndexOfTerm_) {
+    if (!canChangeMembers()) {
         return fail(ResultCode::VersionConflict, "another membership change is in progress");
     }
     Entry entry;
@@ -334,19 +464,16 @@
 // Makes the learner a member once it holds all committed entries.
 void Replica::promoteLearnerIfCaughtUp(Instant now)
 {
-    if (!learner_ || membershipIndex_ > commitIndex_) {
-        return;
-    }
-    const Progress &progress = progress_[learner_->replicaId];
-    const bool caughtUp = progress.matchIndex >= commitIndex_ && progress.matchIndex > 0;
-    if (!caughtUp) {
+    const bool due = promoted_ && canChangeMembers() && isCaughtUp(now, promoted_->replicaId);
+    if (!due) {
         return;
     }
     Entry entry;
     entry.kind = EntryKind::Membership;
     entry.members = members_;
-    entry.members.push_back(*learner_);
-    learner_.reset();
+    entry.members.push_back(*promoted_);
+    learners_.erase(promoted_->replicaId);
+    promoted_.reset();
     appendAsLeader(now, std::move(entry));
 }
 
@@ -358,8 +485,8 @@
             sendAppend(now, member);
         }
     }
-    if (learner_) {
-        sendAppend(now, *learner_);
+    for (const auto &[replicaId, learner] : learners_) {
+        sendAppend(now, learner);
     }
 }
 
@@ -497,7 +624,7 @@
     votes_.insert(message.from);
     minTimeSinceLeaderContact_ =
         std::min(minTimeSinceLeaderContact_, message.timeSinceLeaderContact);
-    if (votes_.size() < quorumSize()) {
+    if (!hasVotesOfQuorum()) {
         return;
     }
     if (role_ == Role::PreCandidate) {
@@ -567,7 +694,9 @@
     if (message.granted) {
         progress.matchIndex = std::max(progress.matchIndex, message.logIndex);
         progress.nextIndex = std::max(progress.nextIndex, progress.matchIndex + 1);
-        advanceCommitIndex();
+        const bool holdsCommitted = progress.matchIndex >= commitIndex_ && progress.matchIndex > 0;
+        progress.hasCaughtUp = progress.hasCaughtUp || holdsCommitted;
+        advanceCommitIndex(now);
         promoteLearnerIfCaughtUp(now);
     } else {
         progress.nextIndex =
@@ -608,17 +737,14 @@
     replyTo(message, MessageKind::AppendReply, true, message.snapshot->index);
 }
 
-void Replica::advanceCommitIndex()
+void Replica::advanceCommitIndex(Instant now)
 {
-    std::vector<std::uint64_t> matches;
-    for (const MemberInfo &member : members_) {
-        matches.push_back(progress_[member.replicaId].matchIndex);
-    }
-    std::sort(matches.rbegin(), matches.rend());
-    const std::uint64_t index = matches[quorumSize() - 1];
+    const std::uint64_t index = quorumValue(
+        [this](const MemberInfo &member) { return progress_[member.replicaId].matchIndex; });
     const auto term = termAt(index);
     if (index > commitIndex_ && term && *term == hardState_.term) {
         commitThrough(index);
+        finishReplacement(now);
     }
 }
 
@@ -633,6 +759,8 @@
         role_ == Role::Leader && commitIndex_ >= membershipIndex_ && !isMember();
     if (selfRemoved) {
         actions_.emplace_back(SteppedDown { hardState_.term });
+        learners_.clear();
+        promoted_.reset();
         role_ = Role::Follower;
         leader_.clear();
     }
@@ -643,17 +771,7 @@
     if (role_ != Role::Leader || commitIndex_ < firstIndexOfTerm_) {
         return false;
     }
-    std::vector<Instant> contactTimes;
-    for (const MemberInfo &member : members_) {
-        const bool own = member.replicaId == self_.replicaId;
-        const auto progress = progress_.find(member.replicaId);
-        contactTimes.push_back(own                               ? now
-                                   : progress == progress_.end() ? Instant()
-                                                                 : progress->second.lastContactAt);
-    }
-    std::sort(contactTimes.rbegin(), contactTimes.rend());
-    return now - contactTimes[quorumSize() - 1]
-        <= timings_.minElectionTimeout * LeaderLeasePercent / 100;
+    return now - quorumContactAt(now) <= timings_.minElectionTimeout * LeaderLeasePercent / 100;
 }
 
 Duration Replica::timeSinceContact(Instant now, const std::string &replicaId) const
--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -4,8 +4,8 @@
 #include "coordination/internal/controllog.h"
 #include "coordination/internal/documenthistory.h"
 #include "coordination/internal/durablestate.h"
+#include "coordination/internal/groupmembership.h"
 #include "coordination/internal/leaderhandover.h"
-#include "coordination/internal/membershipcontroller.h"
 #include "coordination/internal/rolloutcoordinator.h"
 #include "coordination/internal/viewchangelog.h"
 #include "coordination/internal/viewcodec.h"
@@ -28,7 +28,6 @@
 // Changes of servers are published in batches, at most one per period. Changes of suspicions wait
 // for the next response: VMs use them only without a leader.
 constexpr Milliseconds ServerPublishPeriod { 100 };
-constexpr Milliseconds MembershipPeriod { 100 };
 // Fraction of its burst with which a team starts under a new leader. The previous leader may have
 // admitted a whole burst and the rate; a third of a burst on top stays within the overshoot that is
 // tolerated in a window.
@@ -40,10 +39,6 @@
                                                Milliseconds(550) };
 constexpr Milliseconds MemoryCheckPeriod { 200 };
 constexpr std::size_t MemoryReportStep = 32UL * 1024 * 1024; // bytes
-constexpr Milliseconds JoinPeriod { 300 };
-constexpr Milliseconds JoinTimeout { 1000 };
-// A member that has known no leader for this long sends join requests.
-constexpr Milliseconds RejoinTimeout { 2000 };
 // A server that has sent no announcement for this long is removed.
 constexpr Seconds ServerRetention { 30 };
 
@@ -64,10 +59,12 @@
           stopped_(std::move(stopped)),
           runner_(timers, server, clients, std::move(disk), options_.ownAddress, ElectionTimings,
                   replicaCallbacks()),
-          membership_(options_.groupSize),
           leaderClient_(timers, clients,
                         { options_.vm, incarnation_, options_.seeds, options_.ownAddress, nullptr },
                         {}),
+          membership_(timers, server, clients, runner_, { options_.ownAddress, options_.groupSize },
+                      { [this] { return isLeading(); },
+                        [this] { return leaderClient_.controlAddresses(); } }),
           rollouts_(
               options_.exposureLimits, state_,
               [this](const rollout::Rollout &rollout, const ChangeCallback &done) {
@@ -83,11 +80,9 @@
     {
         BOOST_LEAF_CHECK(runner_.start());
         registerHandlers();
-        lastLeaderContactAt_ = timers_.now();
         tick_ = timers_.runEvery(TickPeriod, [this] { tick(); });
-        membershipTick_ = timers_.runEvery(MembershipPeriod, [this] { reconcileMembership(); });
         memoryTick_ = timers_.runEvery(MemoryCheckPeriod, [this] { reportMemory(); });
-        joinTick_ = timers_.runEvery(JoinPeriod, [this] { sendJoinRequestsIfNeeded(); });
+        membership_.start();
         leaderClient_.start();
         return {};
     }
@@ -224,10 +219,6 @@
             { "daisyhaven_configuration_stored", state_.configuration() ? 1 : 0 },
             { "daisyhaven_configuration_version",
               state_.configuration() ? static_cast<double>(state_.configuration()->version) : 0 },
-            { "daisyhaven_control_members",
-              static_cast<double>(runner_.replica().members().size()) },
-            { "daisyhaven_control_membership_index",
-              static_cast<double>(runner_.replica().membershipIndex()) },
             { "daisyhaven_servers_known", static_cast<double>(directory_.entries().size()) },
             { "daisyhaven_entry_vms", static_cast<double>(entryVms_.recentCount(timers_.now())) },
             { "daisyhaven_questions_waiting",
@@ -243,6 +234,7 @@
               scheduler_ ? static_cast<double>(scheduler_->grantedSlotCount()) : 0 },
         };
         values.merge(rollouts_.metrics(timers_.now()));
+        values.merge(membership_.metrics());
         return values;
     }
 
@@ -519,10 +511,6 @@
         if (canLead && !scheduler_) {
             startLeading();
         }
-        const auto leader = runner_.replica().leader();
-        if (leader) {
-            lastLeaderContactAt_ = now;
-        }
         if (!isLeading()) {
             respondWithoutLeading(now);
             return;
@@ -629,14 +617,6 @@
             [this](const Caller &, const wire::DocumentRequest &request, auto respond) {
                 respond(documents_.chunk(request));
             });
-        server_.registerTypedHandler<wire::JoinRequest, wire::Empty>(
-            Method::Join, Role::Vm,
-            [this](const Caller &, const wire::JoinRequest &request, auto respond) {
-                respond(wire::Empty {});
-                membership_.recordJoinRequest(timers_.now(),
-                                              { request.member().vm(), request.member().identity(),
-                                                request.member().peer_address() });
-            });
     }
 
     static Watcher makeWatcher(Instant now, const wire::FleetViewRequest &request,
@@ -938,54 +918,6 @@
                               [](const ChangeOutcome &) {});
     }
 
-    // ---- control group membership ----
-
-    void reconcileMembership()
-    {
-        if (!isLeading()) {
-            return;
-        }
-        const auto change = membership_.nextChange(
-            timers_.now(), runner_.replica().members(), runner_.identity().replicaId,
-            [this](const std::string &replicaId) { return runner_.timeSinceContact(replicaId); });
-        if (!change) {
-            return;
-        }
-        const auto result = attempt([&]() -> Result<bool> {
-            if (const auto *add = std::get_if<AddReplica>(&*change)) {
-                BOOST_LEAF_CHECK(runner_.addMember(add->member));
-            } else {
-                BOOST_LEAF_CHECK(runner_.removeMember(std::get<RemoveReplica>(*change).replicaId));
-            }
-            return true;
-        });
-        const auto *failure = std::get_if<Failure>(&result);
-        // VersionConflict is expected while another change is in progress; the next period retries.
-        const bool unexpected = failure != nullptr && failure->code != ResultCode::VersionConflict;
-        if (unexpected) {
-            logEvent(Event::ChangeRefused, { { "reason", toString(*failure) } });
-        }
-    }
-
-    void sendJoinRequestsIfNeeded()
-    {
-        const bool isMember = runner_.replica().isMember();
-        const bool leaderless = timers_.now() - lastLeaderContactAt_ > RejoinTimeout;
-        if (isMember && !leaderless) {
-            return;
-        }
-        wire::JoinRequest request;
-        *request.mutable_member() =
-            replication::toWire({ options_.ownAddress.toString(), runner_.identity().replicaId,
-                                  options_.ownAddress.toString() });
-        for (const peer::Address &address : leaderClient_.controlAddresses()) {
-            if (address != options_.ownAddress) {
-                clients_.call<wire::Empty>(address, peer::Method::Join, request, JoinTimeout,
-                                           [](const peer::CallResult<wire::Empty> &) {});
-            }
-        }
-    }
-
     TimerService &timers_;
     peer::Server &server_;
     peer::ClientPool &clients_;
@@ -995,8 +927,8 @@
     DurableState state_;
     DocumentHistory documents_;
     replication::ReplicaRunner runner_;
-    MembershipController membership_;
     LeaderClient leaderClient_;
+    GroupMembership membership_;
     RolloutCoordinator rollouts_;
     directory::Directory directory_;
     ViewChangeLog viewChanges_;
@@ -1004,7 +936,6 @@
     // The table that scheduler_ uses.
     std::shared_ptr<const routing::RoutingTable> routingTable_;
     std::uint64_t lastLedEpoch_ = 0;
-    Instant lastLeaderContactAt_;
     std::uint64_t lastProposal_ = 0;
     std::map<std::uint64_t, ChangeCallback> pendingProposals_;
     std::map<scheduler::SlotRequestKey, SlotResponder> slotRequests_;
@@ -1021,9 +952,7 @@
     Instant serversPublishedAt_;
     std::uint64_t publishedSequence_ = 0;
     TimerHandle tick_;
-    TimerHandle membershipTick_;
     TimerHandle memoryTick_;
-    TimerHandle joinTick_;
 };
 
 Result<std::unique_ptr<ControlTask>> ControlTask::open(TimerService &timers, peer::Server &server,
--- a/src/coordination/coordination_test.cpp
+++ b/src/coordination/coordination_test.cpp
@@ -130,31 +130,54 @@
     const char *name;
     consensus::Members members;
     std::vector<consensus::MemberInfo> joining;
-    std::set<std::string> unresponsive;
-    std::string added; // replica ID; empty if none
+    // Members that have been silent for long.
+    std::set<std::string> silent;
+    // Replicas that ask to join, but don't hold the log yet.
+    std::set<std::string> behind;
+    Duration waited { 0 };
+    std::string added; // replica IDs; empty if none
     std::string removed;
 };
 
 class MembershipControllerTest : public ::testing::TestWithParam<MembershipCase>
 {
+protected:
+    static GroupStatus statusOf(const MembershipCase &test)
+    {
+        GroupStatus group;
+        group.members = test.members;
+        group.self = "r1";
+        for (const consensus::MemberInfo &member : test.members) {
+            group.silence[member.replicaId] =
+                test.silent.count(member.replicaId) != 0 ? Seconds(10) : Duration(0);
+        }
+        for (const consensus::MemberInfo &joining : test.joining) {
+            if (test.behind.count(joining.replicaId) == 0) {
+                group.caughtUp.insert(joining.replicaId);
+            }
+        }
+        return group;
+    }
 };
 
 TEST_P(MembershipControllerTest, ReturnsTheExpectedChange)
 {
     const MembershipCase &test = GetParam();
     MembershipController controller(3);
-    for (const consensus::MemberInfo &joining : test.joining) {
-        controller.recordJoinRequest(Start, joining);
+    for (Instant now = Start; now <= Start + test.waited; now += Seconds(1)) {
+        for (const consensus::MemberInfo &joining : test.joining) {
+            controller.recordJoinRequest(now, joining);
+        }
     }
-    const auto change =
-        controller.nextChange(Start, test.members, "r1", [&](const std::string &replicaId) {
-            return test.unresponsive.count(replicaId) != 0 ? Duration(Seconds(10)) : Duration(0);
-        });
+    const auto change = controller.nextChange(Start + test.waited, statusOf(test));
     std::string added;
     std::string removed;
     if (change) {
         if (const auto *add = std::get_if<AddReplica>(&*change)) {
             added = add->member.replicaId;
+        } else if (const auto *replace = std::get_if<ReplaceReplica>(&*change)) {
+            added = replace->incoming.replicaId;
+            removed = replace->outgoing;
         } else {
             removed = std::get<RemoveReplica>(*change).replicaId;
         }
@@ -165,34 +188,108 @@
 
 const consensus::Members ThreeMembers { member("r1", "10.0.0.1:1"), member("r2", "10.0.0.2:1"),
                                         member("r3", "10.0.0.3:1") };
+const consensus::Members TwoMembers { ThreeMembers[0], ThreeMembers[1] };
 const consensus::Members FourMembers { ThreeMembers[0], ThreeMembers[1], ThreeMembers[2],
                                        member("r4", "10.0.0.4:1") };
+const consensus::MemberInfo Newcomer = member("r5", "10.0.0.5:1");
+const consensus::MemberInfo EmptiedDisk = member("r9", "10.0.0.2:1");
 
 INSTANTIATE_TEST_SUITE_P(
     Changes, MembershipControllerTest,
     ::testing::Values(
-        MembershipCase { "nothingToDo", ThreeMembers, {}, {}, "", "" },
-        MembershipCase {
-            "silentMembersStayWhileNobodyReplacesThem", ThreeMembers, {}, { "r2", "r3" }, "", "" },
-        MembershipCase { "newcomer", ThreeMembers, { member("r4", "10.0.0.4:1") }, {}, "r4", "" },
-        MembershipCase { "emptiedDiskGivesWayFirst",
+        MembershipCase { "nothingToDo", ThreeMembers, {}, {}, {}, {}, "", "" },
+        MembershipCase { "silentMembersStayWhileNobodyReplacesThem",
+                         ThreeMembers,
+                         {},
+                         { "r2", "r3" },
+                         {},
+                         {},
+                         "",
+                         "" },
+        MembershipCase { "newcomerOfASmallGroup", TwoMembers, { Newcomer }, {}, {}, {}, "r5", "" },
+        MembershipCase { "newcomerOfASmallGroupDoesNotTakeAPlace",
+                         TwoMembers,
+                         { Newcomer },
+                         { "r2" },
+                         {},
+                         {},
+                         "r5",
+                         "" },
+        MembershipCase { "newcomerWaitsForAPlace", ThreeMembers, { Newcomer }, {}, {}, {}, "", "" },
+        MembershipCase { "newcomerIsAddedAfterItsWait",
+                         ThreeMembers,
+                         { Newcomer },
+                         {},
+                         {},
+                         Seconds(4),
+                         "r5",
+                         "" },
+        MembershipCase { "newcomerTakesThePlaceOfASilentMember",
+                         ThreeMembers,
+                         { Newcomer },
+                         { "r2" },
+                         {},
+                         {},
+                         "r5",
+                         "r2" },
+        MembershipCase { "newcomerThatIsBehindTakesNoPlace",
                          ThreeMembers,
-                         { member("r9", "10.0.0.2:1") },
+                         { Newcomer },
                          { "r2" },
+                         { "r5" },
+                         Seconds(4),
                          "",
+                         "" },
+        MembershipCase { "emptiedDiskTakesThePlaceOfItsFormerIdentity",
+                         ThreeMembers,
+                         { Newcomer, EmptiedDisk },
+                         { "r3" },
+                         {},
+                         {},
+                         "r9",
                          "r2" },
-        MembershipCase { "knownMemberAsksAgain", ThreeMembers, { ThreeMembers[1] }, {}, "", "" },
-        MembershipCase { "replacedMember", FourMembers, {}, { "r2" }, "", "r2" },
-        MembershipCase { "largerGroupWithoutSilence", FourMembers, {}, {}, "", "" }),
+        MembershipCase { "emptiedDiskThatIsBehindLeavesThePlace",
+                         ThreeMembers,
+                         { EmptiedDisk },
+                         {},
+                         { "r9" },
+                         {},
+                         "",
+                         "" },
+        MembershipCase { "replacedMember", FourMembers, {}, { "r2" }, {}, {}, "", "r2" },
+        MembershipCase { "leaderDoesNotRemoveItself", FourMembers, {}, { "r1" }, {}, {}, "", "" },
+        MembershipCase { "largerGroupWithoutSilence", FourMembers, {}, {}, {}, {}, "", "" }),
     [](const auto &info) { return info.param.name; });
 
+TEST(MembershipControllerTest, MemberThatIsSilentForLongerGivesWay)
+{
+    MembershipController controller(3);
+    controller.recordJoinRequest(Start, Newcomer);
+    GroupStatus group {
+        ThreeMembers, "r1", { { "r2", Seconds(3) }, { "r3", Seconds(5) } }, { "r5" }
+    };
+    const auto change = controller.nextChange(Start, group);
+    ASSERT_TRUE(change.has_value());
+    EXPECT_EQ(std::get<ReplaceReplica>(*change).outgoing, "r3");
+}
+
 TEST(MembershipControllerTest, JoinRequestThatIsNotRepeatedExpires)
 {
     MembershipController controller(3);
-    controller.recordJoinRequest(Start, member("r4", "10.0.0.4:1"));
-    const auto timeSinceContact = [](const std::string &) { return Duration(0); };
-    EXPECT_FALSE(controller.nextChange(Start + Seconds(3), ThreeMembers, "r1", timeSinceContact)
-                     .has_value());
+    controller.recordJoinRequest(Start, Newcomer);
+    const GroupStatus group { ThreeMembers, "r1", { { "r2", Seconds(5) } }, { "r5" } };
+    EXPECT_TRUE(controller.nextChange(Start + Seconds(1), group).has_value());
+    EXPECT_FALSE(controller.nextChange(Start + Seconds(3), group).has_value());
+}
+
+TEST(MembershipControllerTest, WaitBeginsAnewAfterAJoinRequestHasExpired)
+{
+    MembershipController controller(3);
+    const GroupStatus group { ThreeMembers, "r1", {}, { "r5" } };
+    controller.recordJoinRequest(Start, Newcomer);
+    controller.recordJoinRequest(Start + Seconds(10), Newcomer);
+    EXPECT_FALSE(controller.nextChange(Start + Seconds(10), group).has_value());
+    EXPECT_EQ(controller.waitingCount(), 1U);
 }
 
 // ---- control tasks in one process, over loopback ----
@@ -252,12 +349,8 @@
     for (int i = 0; i < Replicas; ++i) {
         replaced = replicas_[static_cast<std::size_t>(i)]->task.get() == leader() ? replaced : i;
     }
-    replicas_[static_cast<std::size_t>(replaced)].reset();
-    std::filesystem::remove_all(folder_ + "/" + std::to_string(replaced));
-    startReplica(replaced, false);
     // After it has rejoined, it serves the configuration when another replica is lost.
-    ASSERT_TRUE(runUntil([&] { return memberCount() == 2; }));
-    ASSERT_TRUE(runUntil([&] { return memberCount() == Replicas; }));
+    ASSERT_TRUE(restartWithEmptyDisk(replaced));
     ASSERT_TRUE(put(8, "eight"));
     for (int i = 0; i < Replicas; ++i) {
         if (i != replaced) {
@@ -276,6 +369,7 @@
         const auto version = static_cast<std::uint64_t>(lost) + 7;
         const std::string document = "document " + std::to_string(version);
         ASSERT_TRUE(put(version, document));
+        const double indexBefore = membershipIndex();
         for (auto &replica : replicas_) {
             replica.reset();
         }
@@ -285,8 +379,7 @@
         }
         EXPECT_EQ(read(), document) << "disk " << lost;
         // The empty replica takes the place of its former identity before the next disk is lost.
-        ASSERT_TRUE(runUntil([&] { return memberCount() == Replicas - 1; }));
-        ASSERT_TRUE(runUntil([&] { return memberCount() == Replicas; }));
+        ASSERT_TRUE(runUntil([&] { return allAgreeOnMembersSince(indexBefore); }));
     }
 }
 
--- /dev/null
+++ b/src/coordination/groupmembership.cpp
@@ -0,0 +1,124 @@
+#include "coordination/internal/groupmembership.h"
+
+#include "observe/observe.h"
+#include "peer/generated/peer.pb.h"
+
+namespace daisyhaven::coordination {
+
+namespace {
+
+constexpr Milliseconds ReconcilePeriod { 100 };
+constexpr Milliseconds JoinPeriod { 300 };
+constexpr Milliseconds JoinTimeout { 1000 };
+
+void logChange(const MembershipChange &change, std::size_t members)
+{
+    if (const auto *add = std::get_if<AddReplica>(&change)) {
+        logEvent(Event::ControlMemberDecided,
+                 { { "incoming", add->member.peerAddress },
+                   { "outgoing", "" },
+                   { "reason", add->reason },
+                   { "members", members } });
+    } else if (const auto *replace = std::get_if<ReplaceReplica>(&change)) {
+        logEvent(Event::ControlMemberDecided,
+                 { { "incoming", replace->incoming.peerAddress },
+                   { "outgoing", replace->outgoing },
+                   { "reason", replace->reason },
+                   { "members", members } });
+    } else {
+        const auto &remove = std::get<RemoveReplica>(change);
+        logEvent(Event::ControlMemberDecided,
+                 { { "incoming", "" },
+                   { "outgoing", remove.replicaId },
+                   { "reason", remove.reason },
+                   { "members", members } });
+    }
+}
+
+} // namespace
+
+GroupMembership::GroupMembership(TimerService &timers, peer::Server &server,
+                                 peer::ClientPool &clients, replication::ReplicaRunner &runner,
+                                 Options options, Callbacks callbacks)
+    : timers_(timers), server_(server), clients_(clients), runner_(runner),
+      options_(std::move(options)), callbacks_(std::move(callbacks)),
+      controller_(options_.groupSize)
+{
+}
+
+void GroupMembership::start()
+{
+    knewLeaderAt_ = timers_.now();
+    server_.registerTypedHandler<wire::JoinRequest, wire::Empty>(
+        peer::Method::Join, peer::Role::Vm,
+        [this](const peer::Caller &, const wire::JoinRequest &request, auto respond) {
+            respond(wire::Empty {});
+            controller_.recordJoinRequest(timers_.now(),
+                                          { request.member().vm(), request.member().identity(),
+                                            request.member().peer_address() });
+        });
+    reconcileTick_ = timers_.runEvery(ReconcilePeriod, [this] { reconcile(); });
+    joinTick_ = timers_.runEvery(JoinPeriod, [this] { requestToJoinIfNeeded(); });
+}
+
+void GroupMembership::reconcile()
+{
+    if (runner_.replica().leader()) {
+        knewLeaderAt_ = timers_.now();
+    }
+    if (!callbacks_.isLeading()) {
+        return;
+    }
+    const std::size_t members = runner_.replica().members().size();
+    const auto result = attempt([&] {
+        return runner_.changeMembers([this](Instant now, consensus::Replica &replica) {
+            return controller_.reconcile(now, replica);
+        });
+    });
+    if (const auto *change = std::get_if<std::optional<MembershipChange>>(&result)) {
+        if (*change) {
+            logChange(**change, members);
+        }
+        return;
+    }
+    // VersionConflict is expected while another change is in progress; the next period retries.
+    const auto &failure = std::get<Failure>(result);
+    if (failure.code != ResultCode::VersionConflict) {
+        logEvent(Event::ChangeRefused, { { "reason", toString(failure) } });
+    }
+}
+
+void GroupMembership::requestToJoinIfNeeded()
+{
+    if (!shouldRequestToJoin(timers_.now(), runner_.replica(), knewLeaderAt_)) {
+        return;
+    }
+    wire::JoinRequest request;
+    *request.mutable_member() =
+        replication::toWire({ options_.ownAddress.toString(), runner_.identity().replicaId,
+                              options_.ownAddress.toString() });
+    for (const peer::Address &address : callbacks_.controlAddresses()) {
+        if (address != options_.ownAddress) {
+            clients_.call<wire::Empty>(address, peer::Method::Join, request, JoinTimeout,
+                                       [](const peer::CallResult<wire::Empty> &) {});
+        }
+    }
+}
+
+std::map<std::string, double> GroupMembership::metrics() const
+{
+    const consensus::Replica &replica = runner_.replica();
+    double silent = 0;
+    for (const consensus::MemberInfo &member : replica.members()) {
+        silent +=
+            runner_.timeSinceContact(member.replicaId) > MembershipController::MaxSilence ? 1 : 0;
+    }
+    return {
+        { "daisyhaven_control_members", static_cast<double>(replica.members().size()) },
+        { "daisyhaven_control_members_silent", silent },
+        { "daisyhaven_control_join_requests", static_cast<double>(controller_.waitingCount()) },
+        { "daisyhaven_control_membership_index", static_cast<double>(replica.membershipIndex()) }
+    };
+}
+
+} // namespace daisyhaven::coordination
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -181,6 +181,8 @@
           "The order of a roll-out was refused; nothing changed." },
         { Event::RolloutDecided, "RolloutDecided", "info",
           "The leader proposes another phase of a roll-out, for this reason." },
+        { Event::ControlMemberDecided, "ControlMemberDecided", "info",
+          "The leader changes the members of the control group, for this reason." },
         { Event::LeaseAcquired, "LeaseAcquired", "info", "This VM holds a lease." },
         { Event::LeaseLost, "LeaseLost", "warn", "This VM no longer holds a lease." },
         { Event::VoterRecovered, "VoterRecovered", "info",
--- a/src/observe/observe.h
+++ b/src/observe/observe.h
@@ -56,6 +56,7 @@
     RolloutChanged = 1315,
     RolloutRefused = 1316,
     RolloutDecided = 1317,
+    ControlMemberDecided = 1318,
     LeaseAcquired = 1401,
     LeaseLost = 1402,
     VoterRecovered = 1403,
--- a/src/replication/internal/entrycodec.cpp
+++ b/src/replication/internal/entrycodec.cpp
@@ -38,6 +38,7 @@
     message.set_vm(member.vm);
     message.set_identity(member.replicaId);
     message.set_peer_address(member.peerAddress);
+    message.set_role(static_cast<std::uint32_t>(member.role));
     return message;
 }
 
@@ -54,7 +55,11 @@
 {
     consensus::Members members;
     for (const wire::ReplicaMember &member : message.members()) {
-        members.push_back({ member.vm(), member.identity(), member.peer_address() });
+        const bool known =
+            member.role() <= static_cast<std::uint32_t>(consensus::MemberRole::Outgoing);
+        members.push_back({ member.vm(), member.identity(), member.peer_address(),
+                            known ? static_cast<consensus::MemberRole>(member.role())
+                                  : consensus::MemberRole::Voter });
     }
     return members;
 }
--- a/src/replication/replication.h
+++ b/src/replication/replication.h
@@ -162,6 +162,16 @@
     // Propose a change of the members; see consensus::Replica.
     Result<void> addMember(const consensus::MemberInfo &member);
     Result<void> removeMember(const std::string &identity);
+    // Runs `change`, which may call any of the functions of the replica that change its members.
+    // Returns its result.
+    template <class Change>
+    auto changeMembers(Change change)
+        -> decltype(change(Instant(), std::declval<consensus::Replica &>()))
+    {
+        auto result = change(timers_.now(), replica_);
+        executeActions();
+        return result;
+    }
 
     const consensus::Replica &replica() const { return replica_; }
     const ReplicaIdentity &identity() const { return disk_->identity(); }
--- a/src/testing/controlgroup.h
+++ b/src/testing/controlgroup.h
@@ -142,14 +142,19 @@
     }
 
     // Starts the replica again with an empty disk. Returns whether the group has taken its new
-    // identity in place of the former one.
+    // identity in place of the former one and was never smaller meanwhile.
     bool restartWithEmptyDisk(int index)
     {
         const double indexBefore = membershipIndex();
         replicas_[static_cast<std::size_t>(index)].reset();
         std::filesystem::remove_all(folder_ + "/" + std::to_string(index));
         startReplica(index, false);
-        return runUntil([&] { return allAgreeOnMembersSince(indexBefore); });
+        bool wasSmaller = false;
+        const bool replaced = runUntil([&] {
+            wasSmaller = wasSmaller || (leader() != nullptr && memberCount() < Replicas);
+            return allAgreeOnMembersSince(indexBefore);
+        });
+        return replaced && !wasSmaller;
     }
 
     // Sends a configuration to the current leader, with retries, until it is confirmed.
