A control VM that stops gives its place to one that waits to join

What callers would see: a control VM whose successor came first, and has had its time, gets SIGTERM and counts as lost at no time.

Cause: a member gives way after a second of silence, and the VM that stops said nothing.

Change: on SIGTERM a control VM asks the group to let it go, if a replica waits to join or the group is larger than configured. The leader, which may be the one that stops, takes it for silent. The process ends once a leader says that the change is committed, after 1 s at the latest; without a replica that waits it ends at once, as before.

--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -55,7 +55,7 @@
     Impl(TimerService &timers, peer::Server &server, peer::ClientPool &clients,
          ControlOptions options, std::unique_ptr<replication::DiskLog> disk,
          std::function<void(const Failure &)> stopped)
-        : timers_(timers), server_(server), clients_(clients), options_(std::move(options)),
+        : timers_(timers), server_(server), options_(std::move(options)),
           stopped_(std::move(stopped)),
           runner_(timers, server, clients, std::move(disk), options_.ownAddress, ElectionTimings,
                   replicaCallbacks()),
@@ -87,6 +87,8 @@
         return {};
     }
 
+    void leave(std::function<void()> done) { membership_.leave(std::move(done)); }
+
     void setSeeds(std::vector<peer::Address> seeds) { leaderClient_.setSeeds(std::move(seeds)); }
 
     // ---- calls from operators and backend servers ----
@@ -920,7 +922,6 @@
 
     TimerService &timers_;
     peer::Server &server_;
-    peer::ClientPool &clients_;
     ControlOptions options_;
     std::function<void(const Failure &)> stopped_;
     std::uint64_t incarnation_ = static_cast<std::uint64_t>(wallClockMicroseconds());
@@ -973,6 +974,11 @@
     return impl_->start();
 }
 
+void ControlTask::leave(std::function<void()> done)
+{
+    impl_->leave(std::move(done));
+}
+
 void ControlTask::setSeeds(std::vector<peer::Address> seeds)
 {
     impl_->setSeeds(std::move(seeds));
--- a/src/coordination/coordination.h
+++ b/src/coordination/coordination.h
@@ -252,6 +252,9 @@
 
     Result<void> start();
     void setSeeds(std::vector<peer::Address> seeds);
+    // Call before the process stops. If another control VM waits to join, this one's place goes to
+    // it. Calls `done` within about a second, at once if none waits.
+    void leave(std::function<void()> done);
 
     // Commits a configuration. A version that is not above the current one is confirmed and changes
     // nothing. Failures: DeclarationInvalid, RouteConflict.
--- a/src/coordination/coordination_test.cpp
+++ b/src/coordination/coordination_test.cpp
@@ -273,6 +273,22 @@
     EXPECT_EQ(std::get<ReplaceReplica>(*change).outgoing, "r3");
 }
 
+// Guards against a planned replacement that takes from what the group can lose: the VM that goes is
+// not silent yet.
+TEST(MembershipControllerTest, MemberThatStopsGivesWayAtOnce)
+{
+    MembershipController controller(3);
+    EXPECT_FALSE(controller.hasUseForLeaving(Start, ThreeMembers));
+    EXPECT_TRUE(controller.hasUseForLeaving(Start, FourMembers));
+    GroupStatus group { ThreeMembers, "r1", { { "r2", Seconds(5) } }, { "r5" }, { "r3" } };
+    EXPECT_FALSE(controller.nextChange(Start, group).has_value());
+    controller.recordJoinRequest(Start, Newcomer);
+    EXPECT_TRUE(controller.hasUseForLeaving(Start, ThreeMembers));
+    const auto change = controller.nextChange(Start, group);
+    ASSERT_TRUE(change.has_value());
+    EXPECT_EQ(std::get<ReplaceReplica>(*change).outgoing, "r3");
+}
+
 TEST(MembershipControllerTest, JoinRequestThatIsNotRepeatedExpires)
 {
     MembershipController controller(3);
--- a/src/coordination/groupmembership.cpp
+++ b/src/coordination/groupmembership.cpp
@@ -1,7 +1,6 @@
 #include "coordination/internal/groupmembership.h"
 
 #include "observe/observe.h"
-#include "peer/generated/peer.pb.h"
 
 namespace daisyhaven::coordination {
 
@@ -10,6 +9,9 @@
 constexpr Milliseconds ReconcilePeriod { 100 };
 constexpr Milliseconds JoinPeriod { 300 };
 constexpr Milliseconds JoinTimeout { 1000 };
+constexpr Milliseconds LeavePeriod { 100 };
+// The group lets a replica go within some periods unless it has no leader.
+constexpr Milliseconds MaxLeaveTime { 1000 };
 
 void logChange(const MembershipChange &change, std::size_t members)
 {
@@ -49,18 +51,29 @@
 void GroupMembership::start()
 {
     knewLeaderAt_ = timers_.now();
-    server_.registerTypedHandler<wire::JoinRequest, wire::Empty>(
+    server_.registerTypedHandler<wire::JoinRequest, wire::JoinReply>(
         peer::Method::Join, peer::Role::Vm,
         [this](const peer::Caller &, const wire::JoinRequest &request, auto respond) {
-            respond(wire::Empty {});
-            controller_.recordJoinRequest(timers_.now(),
-                                          { request.member().vm(), request.member().identity(),
-                                            request.member().peer_address() });
+            respond(handleRequest(request));
         });
     reconcileTick_ = timers_.runEvery(ReconcilePeriod, [this] { reconcile(); });
     joinTick_ = timers_.runEvery(JoinPeriod, [this] { requestToJoinIfNeeded(); });
 }
 
+wire::JoinReply GroupMembership::handleRequest(const wire::JoinRequest &request)
+{
+    const wire::ReplicaMember &member = request.member();
+    wire::JoinReply reply;
+    if (request.leaving()) {
+        controller_.recordLeaving(timers_.now(), member.identity());
+        reply.set_left(callbacks_.isLeading() && hasLeft(runner_.replica(), member.identity()));
+        return reply;
+    }
+    controller_.recordJoinRequest(timers_.now(),
+                                  { member.vm(), member.identity(), member.peer_address() });
+    return reply;
+}
+
 void GroupMembership::reconcile()
 {
     if (runner_.replica().leader()) {
@@ -90,17 +103,65 @@
 
 void GroupMembership::requestToJoinIfNeeded()
 {
-    if (!shouldRequestToJoin(timers_.now(), runner_.replica(), knewLeaderAt_)) {
+    const bool leaves = onLeft_ != nullptr;
+    if (!leaves && shouldRequestToJoin(timers_.now(), runner_.replica(), knewLeaderAt_)) {
+        sendToGroup(makeJoinRequest());
+    }
+}
+
+void GroupMembership::leave(std::function<void()> done)
+{
+    const Instant now = timers_.now();
+    const consensus::Replica &replica = runner_.replica();
+    if (!replica.isMember() || !controller_.hasUseForLeaving(now, replica.members())) {
+        done();
+        return;
+    }
+    const bool continues = onLeft_ != nullptr;
+    onLeft_ = std::move(done);
+    if (!continues) {
+        leaveBy_ = now + MaxLeaveTime;
+        leaveTick_ = timers_.runEvery(LeavePeriod, [this] { continueLeaving(); });
+        continueLeaving();
+    }
+}
+
+void GroupMembership::continueLeaving()
+{
+    const Instant now = timers_.now();
+    const consensus::Replica &replica = runner_.replica();
+    const bool left = hasLeft_ || hasLeft(replica, runner_.identity().replicaId);
+    if (left || now >= leaveBy_) {
+        leaveTick_ = TimerHandle();
+        onLeft_();
         return;
     }
+    controller_.recordLeaving(now, runner_.identity().replicaId);
+    wire::JoinRequest request = makeJoinRequest();
+    request.set_leaving(true);
+    sendToGroup(request);
+}
+
+wire::JoinRequest GroupMembership::makeJoinRequest() const
+{
     wire::JoinRequest request;
     *request.mutable_member() =
         replication::toWire({ options_.ownAddress.toString(), runner_.identity().replicaId,
                               options_.ownAddress.toString() });
+    return request;
+}
+
+void GroupMembership::sendToGroup(const wire::JoinRequest &request)
+{
     for (const peer::Address &address : callbacks_.controlAddresses()) {
         if (address != options_.ownAddress) {
-            clients_.call<wire::Empty>(address, peer::Method::Join, request, JoinTimeout,
-                                       [](const peer::CallResult<wire::Empty> &) {});
+            clients_.call<wire::JoinReply>(address, peer::Method::Join, request, JoinTimeout,
+                                           [this](const peer::CallResult<wire::JoinReply> &result) {
+                                               const auto *reply =
+                                                   std::get_if<wire::JoinReply>(&result);
+                                               hasLeft_ =
+                                                   hasLeft_ || (reply != nullptr && reply->left());
+                                           });
         }
     }
 }
--- a/src/coordination/internal/groupmembership.h
+++ b/src/coordination/internal/groupmembership.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "coordination/internal/membershipcontroller.h"
+#include "peer/generated/peer.pb.h"
 #include "peer/peer.h"
 #include "replication/replication.h"
 #include "timer/timer.h"
@@ -39,12 +40,20 @@
 
     void start();
 
+    // Gives this replica's place to one that waits to join, if there is one. Calls `done` once the
+    // group has let it go, or after a bounded time.
+    void leave(std::function<void()> done);
+
     // Returns the values for the metrics page, by metric name.
     std::map<std::string, double> metrics() const;
 
 private:
     void reconcile();
     void requestToJoinIfNeeded();
+    void continueLeaving();
+    wire::JoinRequest makeJoinRequest() const;
+    void sendToGroup(const wire::JoinRequest &request);
+    wire::JoinReply handleRequest(const wire::JoinRequest &request);
 
     TimerService &timers_;
     peer::Server &server_;
@@ -56,6 +65,10 @@
     Instant knewLeaderAt_;
     TimerHandle reconcileTick_;
     TimerHandle joinTick_;
+    Instant leaveBy_;
+    std::function<void()> onLeft_; // set while this replica leaves
+    bool hasLeft_ = false; // as a leader says
+    TimerHandle leaveTick_;
 };
 
 } // namespace daisyhaven::coordination
--- a/src/coordination/internal/membershipcontroller.h
+++ b/src/coordination/internal/membershipcontroller.h
@@ -6,7 +6,8 @@
 // are gone, for each of them takes from what the group can lose. So a replica that has caught up
 // takes the place of a member at once, in one change: of the former identity at its address, or
 // else of the member that has been silent for the longest time. That member may only be dark. It
-// then asks to join when it returns, and takes the place of the one that is gone.
+// then asks to join when it returns, and takes the place of the one that is gone. A member that
+// says that it stops is taken for silent.
 //
 // The group is never made smaller than its configured size, and no member is removed for its
 // silence alone while the group has that size: it may come back with its disk, and counting it as a
@@ -51,6 +52,8 @@
     std::map<std::string, Duration> silence;
     // Replicas without a vote that hold the log, by replica ID.
     std::set<std::string> caughtUp;
+    // Members that have said that they stop, by replica ID.
+    std::set<std::string> leaving = {};
 };
 
 class MembershipController
@@ -68,6 +71,15 @@
 
     void recordJoinRequest(Instant now, const consensus::MemberInfo &member);
 
+    // Records that a member has said that it stops. Holds as long as a join request.
+    void recordLeaving(Instant now, const std::string &replicaId);
+
+    // Returns whether a member that stops should wait until the group has let it go.
+    bool hasUseForLeaving(Instant now, const consensus::Members &members) const
+    {
+        return members.size() > groupSize_ || !requestsByAge(now).empty();
+    }
+
     // Makes the replicas that ask to join learners of the leader `leader`, and makes the next
     // change, if any. Returns the change. Errors: those of consensus::Replica; VersionConflict is
     // expected while a change is in progress.
@@ -92,6 +104,8 @@
     }
     // Drops requests that have expired or were granted.
     void dropRequests(Instant now, const consensus::Members &members);
+    GroupStatus statusOf(Instant now, const consensus::Replica &leader,
+                         const consensus::Members &learners) const;
     // Returns the requests that have not expired, the earliest first.
     std::vector<JoinRequest> requestsByAge(Instant now) const;
     std::optional<MembershipChange> placeFor(Instant now, const JoinRequest &request,
@@ -99,12 +113,16 @@
 
     std::size_t groupSize_;
     std::map<std::string, JoinRequest> joinRequests_; // by replica ID
+    std::map<std::string, Instant> leavingSaidAt_; // by replica ID
 };
 
 // Time without a leader after which a replica that takes itself for a member asks to join: it may
 // have been removed.
 constexpr Milliseconds MaxTimeWithoutLeader { 700 };
 
+// Returns whether the members that `replica` knows are committed and don't include `replicaId`.
+bool hasLeft(const consensus::Replica &replica, const std::string &replicaId);
+
 // Returns whether `replica`, which last knew a leader at `knewLeaderAt`, has to ask to join.
 bool shouldRequestToJoin(Instant now, const consensus::Replica &replica, Instant knewLeaderAt);
 
--- a/src/coordination/membershipcontroller.cpp
+++ b/src/coordination/membershipcontroller.cpp
@@ -23,9 +23,15 @@
     return found == members.end() ? nullptr : &*found;
 }
 
-// Returns the member that has been silent for the longest time beyond MaxSilence, or null.
-const MemberInfo *findSilent(const GroupStatus &group)
+// Returns a member that stops, or else the one that has been silent for the longest time beyond
+// MaxSilence, or null.
+const MemberInfo *findSilentOrLeaving(const GroupStatus &group)
 {
+    for (const MemberInfo &member : group.members) {
+        if (group.leaving.count(member.replicaId) != 0) {
+            return &member;
+        }
+    }
     const MemberInfo *found = nullptr;
     Duration longest = MembershipController::MaxSilence;
     for (const MemberInfo &member : group.members) {
@@ -39,22 +45,6 @@
     return found;
 }
 
-GroupStatus statusOf(Instant now, const consensus::Replica &leader, const Members &learners)
-{
-    GroupStatus status;
-    status.members = leader.members();
-    status.self = leader.self().replicaId;
-    for (const MemberInfo &member : status.members) {
-        status.silence[member.replicaId] = leader.timeSinceContact(now, member.replicaId);
-    }
-    for (const MemberInfo &learner : learners) {
-        if (leader.isCaughtUp(now, learner.replicaId)) {
-            status.caughtUp.insert(learner.replicaId);
-        }
-    }
-    return status;
-}
-
 } // namespace
 
 void MembershipController::recordJoinRequest(Instant now, const MemberInfo &member)
@@ -70,12 +60,41 @@
     added.first->second.receivedAt = now;
 }
 
+void MembershipController::recordLeaving(Instant now, const std::string &replicaId)
+{
+    leavingSaidAt_[replicaId] = now;
+}
+
+GroupStatus MembershipController::statusOf(Instant now, const consensus::Replica &leader,
+                                           const Members &learners) const
+{
+    GroupStatus status;
+    status.members = leader.members();
+    status.self = leader.self().replicaId;
+    for (const MemberInfo &member : status.members) {
+        status.silence[member.replicaId] = leader.timeSinceContact(now, member.replicaId);
+    }
+    for (const MemberInfo &learner : learners) {
+        if (leader.isCaughtUp(now, learner.replicaId)) {
+            status.caughtUp.insert(learner.replicaId);
+        }
+    }
+    for (const auto &[replicaId, saidAt] : leavingSaidAt_) {
+        status.leaving.insert(replicaId);
+    }
+    return status;
+}
+
 void MembershipController::dropRequests(Instant now, const Members &members)
 {
     for (auto request = joinRequests_.begin(); request != joinRequests_.end();) {
         const bool done = isExpired(now, request->second) || contains(members, request->first);
         request = done ? joinRequests_.erase(request) : std::next(request);
     }
+    for (auto leaving = leavingSaidAt_.begin(); leaving != leavingSaidAt_.end();) {
+        const bool expired = now - leaving->second > JoinRequestLifetime;
+        leaving = expired ? leavingSaidAt_.erase(leaving) : std::next(leaving);
+    }
 }
 
 std::vector<MembershipController::JoinRequest>
@@ -135,10 +154,10 @@
             return change;
         }
     }
-    const MemberInfo *silent = findSilent(group);
+    const MemberInfo *silent = findSilentOrLeaving(group);
     if (silent != nullptr && group.members.size() > groupSize_) {
         return RemoveReplica { silent->replicaId,
-                               "silent, and the group exceeds its configured size" };
+                               "silent or leaving, and the group exceeds its configured size" };
     }
     return std::nullopt;
 }
@@ -153,8 +172,8 @@
     if (group.members.size() < groupSize_) {
         return AddReplica { request.member, "the group is below its configured size" };
     }
-    if (const MemberInfo *silent = findSilent(group)) {
-        return ReplaceReplica { silent->replicaId, request.member, "silent" };
+    if (const MemberInfo *silent = findSilentOrLeaving(group)) {
+        return ReplaceReplica { silent->replicaId, request.member, "silent or leaving" };
     }
     if (now - request.firstReceivedAt > MaxWaitForPlace) {
         return AddReplica { request.member, "no member is silent" };
@@ -162,6 +181,13 @@
     return std::nullopt;
 }
 
+bool hasLeft(const consensus::Replica &replica, const std::string &replicaId)
+{
+    const Members &members = replica.members();
+    const bool committed = replica.membershipIndex() <= replica.commitIndex();
+    return committed && !members.empty() && !contains(members, replicaId);
+}
+
 bool shouldRequestToJoin(Instant now, const consensus::Replica &replica, Instant knewLeaderAt)
 {
     return !replica.isMember() || now - knewLeaderAt > MaxTimeWithoutLeader;
--- a/src/coordination/replacedvms_test.cpp
+++ b/src/coordination/replacedvms_test.cpp
@@ -273,10 +273,8 @@
             addSuccessor(back);
             break;
         case EventKind::ReplacePlanned:
-            addSuccessor(now_);
-            run(event.length);
-            vms_[static_cast<std::size_t>(index)].gone = true;
-            stop(vms_[static_cast<std::size_t>(index)]);
+            vm.lostUntil = now_;
+            replacePlanned(index, event.length);
             break;
         case EventKind::LoseDisk:
             stop(vm);
@@ -296,6 +294,38 @@
         }
     }
 
+    // The VM that goes gives its place to the one that has come. It never counts as lost if that
+    // one has had its time.
+    void replacePlanned(int index, Duration pause)
+    {
+        const Instant successorIsReadyAt = now_ + terms_.catchUp;
+        addSuccessor(now_);
+        run(pause);
+        Vm &vm = vms_[static_cast<std::size_t>(index)];
+        const bool waits = vm.controller->hasUseForLeaving(now_, vm.replica->members());
+        for (const Instant end = now_ + Milliseconds(waits ? 1000 : 0);
+             now_ < end && isLeaving(vm);) {
+            for (Vm &other : vms_) {
+                if (isReachable(vm, other)) {
+                    other.controller->recordLeaving(now_, vm.info.replicaId);
+                }
+            }
+            run(Milliseconds(100));
+        }
+        vm.gone = true;
+        vm.lostUntil = std::max(now_, successorIsReadyAt);
+        stop(vm);
+    }
+
+    bool isLeaving(const Vm &vm) const
+    {
+        const bool told = std::any_of(vms_.begin(), vms_.end(), [&](const Vm &other) {
+            return isReachable(vm, other) && other.replica->canServeReads(now_)
+                && hasLeft(*other.replica, vm.info.replicaId);
+        });
+        return violation_.empty() && !told && !hasLeft(*vm.replica, vm.info.replicaId);
+    }
+
     void awaitReplacement()
     {
         constexpr Seconds Patience { 4 };
@@ -306,7 +336,8 @@
                        leading->replica->members().begin(), leading->replica->members().end(),
                        [](const MemberInfo &member) { return member.role != MemberRole::Voter; });
         };
-        for (const Instant end = now_ + Patience; now_ < end && !isReplacing();) {
+        for (const Instant end = now_ + Patience;
+             violation_.empty() && now_ < end && !isReplacing();) {
             run(Step);
         }
     }
@@ -647,6 +678,10 @@
                        { event(EventKind::ReplacePlanned, Victim::Leader, 0, 1000),
                          event(EventKind::ReplacePlanned, Victim::Oldest, 500, 1000),
                          event(EventKind::Kill, Victim::Leader, 200, 0) } },
+        ScheduleCase { "successorHasHadItsTimeBeforeItsPredecessorGoes",
+                       { event(EventKind::ReplacePlanned, Victim::Leader, 0, 5000),
+                         event(EventKind::Replace, Victim::Leader, 0, 500),
+                         event(EventKind::Replace, Victim::Leader, 0, 500) } },
         ScheduleCase { "cutOffVmIsTakenForTheGoneOne",
                        { event(EventKind::Cut, Victim::Follower, 0, 6000),
                          event(EventKind::Replace, Victim::Leader, 300, 500),
