A vote counts only in its own term, also if it arrives after a restart

What callers could see: two leaders of one term, each of which acknowledges changes that the other doesn't know.

Cause: handleVoteReply() told replies apart by a sequence that began at 0 at each start and didn't compare the term, so a vote that was held up over a restart of its candidate counted in a later election, for which the voter may have voted otherwise. A pre-vote did the same.

Change: a granted vote must name the candidate's present term; the sequence of elections begins at a random number, because the reply to a pre-vote names the voter's term.

Measured: LateReplies (vote, pre-vote) failed on the code before, both; now they pass, as do the fuzz test and the schedules of replacedvms_test.

--- a/src/consensus/consensus.h
+++ b/src/consensus/consensus.h
@@ -319,6 +319,7 @@
     Duration minTimeSinceLeaderContact_ { 0 };
     Duration leaderlessTimeBeforeElection_ { 0 };
     std::uint64_t firstIndexOfTerm_ = 0;
+    // Sequence number of the requests of the present election.
     std::uint64_t electionSequence_ = 0;
     std::vector<Action> actions_;
 };
--- a/src/consensus/consensus_test.cpp
+++ b/src/consensus/consensus_test.cpp
@@ -311,6 +311,105 @@
     EXPECT_TRUE(passed);
 }
 
+// ---- votes that arrive late ----
+
+struct LateReplyCase
+{
+    const char *name;
+    MessageKind request = MessageKind::Vote;
+};
+
+class LateReplies : public ::testing::TestWithParam<LateReplyCase>
+{
+protected:
+    LateReplies()
+    {
+        for (int i = 0; i < NodeCount; ++i) {
+            disk_.snapshot.members.push_back(
+                { "vm" + std::to_string(i), replicaIdOf(i, 0), std::to_string(i) });
+        }
+    }
+
+    // Starts the candidate with what its disk holds.
+    void start()
+    {
+        candidate_ = std::make_unique<Replica>(disk_.snapshot.members[0], disk_, Timings {},
+                                               ++starts_, now_);
+    }
+
+    // Lets the candidate time out and returns its request of this kind to the voter.
+    std::optional<Message> campaign(MessageKind kind)
+    {
+        now_ += Seconds(2);
+        candidate_->tick(now_);
+        return takeRequest(kind);
+    }
+
+    std::optional<Message> takeRequest(MessageKind kind)
+    {
+        std::optional<Message> request;
+        for (const Action &action : candidate_->takeActions()) {
+            if (const auto *persisted = std::get_if<PersistHardState>(&action)) {
+                disk_.hardState = persisted->state;
+            }
+            const auto *sent = std::get_if<SendMessage>(&action);
+            const bool wanted = sent != nullptr && sent->message.kind == kind
+                && sent->message.to == replicaIdOf(1, 0);
+            request = wanted ? std::optional(sent->message) : request;
+        }
+        return request;
+    }
+
+    // Returns a granting reply of a voter whose term is that of the request, or one before it in a
+    // pre-vote.
+    static Message granted(const Message &request)
+    {
+        const bool isVote = request.kind == MessageKind::Vote;
+        Message reply;
+        reply.kind = isVote ? MessageKind::VoteReply : MessageKind::PreVoteReply;
+        reply.from = request.to;
+        reply.to = request.from;
+        reply.term = isVote ? request.term : request.term - 1;
+        reply.granted = true;
+        reply.sequence = request.sequence;
+        return reply;
+    }
+
+    Instant now_ { Seconds(1000) };
+    StoredState disk_;
+    std::unique_ptr<Replica> candidate_;
+    std::uint64_t starts_ = 0;
+};
+
+// Guards against two leaders of one term: a vote that was held up while its candidate restarted
+// counted in a later term, for which the voter may have voted otherwise.
+TEST_P(LateReplies, OfAnEarlierElectionDoNotCountAfterARestart)
+{
+    const bool isVote = GetParam().request == MessageKind::Vote;
+    start();
+    const auto preVote = campaign(MessageKind::PreVote);
+    ASSERT_TRUE(preVote.has_value());
+    candidate_->handleMessage(now_, granted(*preVote));
+    const auto vote = takeRequest(MessageKind::Vote);
+    ASSERT_TRUE(vote.has_value());
+
+    start();
+    const auto laterPreVote = campaign(MessageKind::PreVote);
+    ASSERT_TRUE(laterPreVote.has_value());
+    if (isVote) {
+        candidate_->handleMessage(now_, granted(*laterPreVote));
+        ASSERT_TRUE(takeRequest(MessageKind::Vote).has_value());
+    }
+    candidate_->handleMessage(now_, granted(isVote ? *vote : *preVote));
+    EXPECT_FALSE(candidate_->isLeader());
+    EXPECT_FALSE(takeRequest(MessageKind::Vote).has_value());
+}
+
+INSTANTIATE_TEST_SUITE_P(Kinds, LateReplies,
+                         ::testing::Values(LateReplyCase { "vote", MessageKind::Vote },
+                                           LateReplyCase { "preVote", MessageKind::PreVote }),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 // ---- a large entry in flight ----
 
 // Three replicas whose messages arrive at once, but for those with a large entry.
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -22,6 +22,8 @@
       snapshot_(std::move(stored.snapshot)), entries_(std::move(stored.entries)), timings_(timings),
       random_(seed), commitIndex_(snapshot_.index), lastLeaderContactAt_(now)
 {
+    // Replies to requests from before a restart must not match those from after it.
+    electionSequence_ = random_();
     updateMembersFromLog();
     resetElectionTimer(now);
 }
@@ -616,8 +618,10 @@
         }
         return;
     }
+    // A vote holds for its own term only. The reply to a pre-vote names the term of the voter.
     const bool expected = (role_ == Role::PreCandidate && message.kind == MessageKind::PreVoteReply)
-        || (role_ == Role::Candidate && message.kind == MessageKind::VoteReply);
+        || (role_ == Role::Candidate && message.kind == MessageKind::VoteReply
+            && message.term == hardState_.term);
     if (!expected) {
         return;
     }
