Soak: control VMs are replaced, stopped with SIGTERM, and versions begin at 0

It now replaces control VMs by empty ones at other addresses (before or after, with and without SIGTERM), names running ones as seeds, and begins with version 0 on even seeds.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,20 +9,20 @@
 from relay import MODES
 from servers import FAILURES, Server
 
-# Time that a control VM with a wiped disk needs to rejoin the group; no other disk is wiped
-# meanwhile.
+# Time that a control VM with an empty disk needs to join the group; no other disk is lost meanwhile.
 CATCH_UP_S = 6.0
 # Upper bound on the duration of the longest fault, including retried requests of operators.
 FAULTS_END_S = 90
 
 
 class Faults:
-    def __init__(self, fleet, teams, seed):
+    def __init__(self, fleet, teams, seed, first_version):
         self.fleet = fleet
         self.teams = teams
         self.random = random.Random(seed)
-        self.version = 1
-        self.wiped_at = -CATCH_UP_S
+        self.version = first_version
+        # When the last empty control VM started; infinite until it does.
+        self.disk_lost_at = -CATCH_UP_S
         self.next_server = len(fleet.servers) + 1
         self.tasks = []
         # Names of the faults that have not ended, by task.
@@ -33,8 +33,8 @@
         end = time.monotonic() + seconds
         kinds = (self.kill, self.pause, self.terminate, self.kill_all_controls, self.wipe, self.hang_up,
                  self.break_server, self.break_path, self.crash_server, self.replace_server, self.change,
-                 self.race, self.zone_out, self.limit_servers, self.replace_unannounced)
-        weights = (3, 4, 3, 1, 1, 1, 4, 4, 2, 2, 3, 1, 1, 2, 2)
+                 self.race, self.zone_out, self.limit_servers, self.replace_unannounced, self.replace_control)
+        weights = (3, 4, 3, 1, 1, 1, 4, 4, 2, 2, 3, 1, 1, 2, 2, 2)
         while time.monotonic() < end:
             fault = self.random.choices(kinds, weights)[0]
             self.tasks.append(asyncio.create_task(self._logged(fault)))
@@ -74,7 +74,7 @@
         return process.name
 
     async def terminate(self):
-        process = self.random.choice(self.fleet.entries)
+        process = self._any_process()
         process.signal(signal.SIGTERM)
         await process.ended()
         process.start()
@@ -89,17 +89,38 @@
             process.start()
 
     async def wipe(self):
-        if time.monotonic() - self.wiped_at < CATCH_UP_S:
+        if time.monotonic() - self.disk_lost_at < CATCH_UP_S:
             return "left out"
-        self.wiped_at = time.monotonic()
+        self.disk_lost_at = float("inf")
         process = self.random.choice(self.fleet.controls)
         process.signal(signal.SIGKILL)
         await process.ended()
-        if process.running:
+        wiped = not process.running
+        if wiped:
+            process.wipe()
+            process.start()
+        self.disk_lost_at = time.monotonic()
+        return process.name if wiped else "left out"
+
+    async def replace_control(self):
+        """A control VM is gone for good and an empty one comes at another address, before it or after."""
+        if time.monotonic() - self.disk_lost_at < CATCH_UP_S:
             return "left out"
-        process.wipe()
-        process.start()
-        return process.name
+        self.disk_lost_at = float("inf")
+        process = self.random.choice(self.fleet.controls)
+        planned = self.random.random() < 0.3
+        if planned:
+            fresh = self.fleet.add_control()
+            await asyncio.sleep(self.random.uniform(0.5, 5))
+        self.fleet.take_away(process)
+        process.signal(signal.SIGCONT)
+        process.signal(signal.SIGTERM if planned else signal.SIGKILL)
+        await process.ended()
+        if not planned:
+            await asyncio.sleep(self.random.uniform(0.2, 2))
+            fresh = self.fleet.add_control()
+        self.disk_lost_at = time.monotonic()
+        return f"{process.name} by {fresh.name}" + (" as planned" if planned else "")
 
     async def hang_up(self):
         process = self._any_process()
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -38,6 +38,8 @@
         self.process = None
         self.first_start = True
         self.internal_ports = 16
+        # The VM has been taken away for good.
+        self.gone = False
         # The build that the next start runs.
         self.binary = fleet.binary
         # Whether the current process was told to end.
@@ -52,8 +54,8 @@
         return self.process is not None and self.process.poll() is None
 
     def start(self):
-        """Starts the process unless a concurrent fault has already restarted it."""
-        if self.running:
+        """Starts the process unless a concurrent fault has already restarted it or taken its VM away."""
+        if self.running or self.gone:
             return
         self.note_own_end()
         self.ending = False
@@ -69,7 +71,7 @@
                 env={**os.environ, "DAISYHAVEN_NODE_FILE": settings})
 
     def _settings(self):
-        seeds = [f'"{self.fleet.net}.0.{i + 1}:{CONTROL_PORT}"' for i in range(3)]
+        seeds = [f'"{control.ip}:{CONTROL_PORT}"' for control in self.fleet.controls[:3]]
         listen = (f'controlPlane = "{self.ip}:{CONTROL_PORT}"' if self.role == "control" else
                   f'frontendAddress = "{self.ip}:{CALLER_PORT}"\nready = "{self.ip}:{READY_PORT}"')
         founding = "true" if self.role == "control" and self.first_start else "false"
@@ -135,6 +137,8 @@
         self.random = random.Random(seed)
         self.controls = [Process(self, "control", i) for i in range(options.controls)]
         self.entries = [Process(self, "entry", i) for i in range(options.entries)]
+        # Control VMs that were taken away for good.
+        self.gone_controls = []
         self.servers = []
         # Request id -> signature of the response that a backend server sent.
         self.answers = {}
@@ -143,9 +147,27 @@
         for process in self.controls + self.entries:
             process.start()
 
+    def processes(self):
+        """Returns all processes, also those of VMs that are gone."""
+        return self.controls + self.gone_controls + self.entries
+
+    def add_control(self):
+        """Starts an empty control VM at an address of its own."""
+        control = Process(self, "control", len(self.controls) + len(self.gone_controls))
+        control.first_start = False
+        self.controls.append(control)
+        control.start()
+        return control
+
+    def take_away(self, control):
+        """The VM never starts again. Its process must have ended or be about to."""
+        control.gone = True
+        self.controls.remove(control)
+        self.gone_controls.append(control)
+
     def stop(self):
         """Kills the processes that this fleet started, and no others."""
-        for process in self.controls + self.entries:
+        for process in self.processes():
             if process.running:
                 process.process.send_signal(signal.SIGCONT)
                 process.process.kill()
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -58,7 +58,9 @@
         fleet.start()
         for server in fleet.servers:
             await server.start()
-        faults = Faults(fleet, TEAMS, seed)
+        # Operators may begin with version 0, which earlier builds don't store.
+        first_version = 1 if options.upgrade_from else seed % 2
+        faults = Faults(fleet, TEAMS, seed, first_version)
         await fleet.configure(faults.version, document(TEAMS, 1500))
         background.append(asyncio.create_task(callers.watch_readiness()))
         if not await wait_for(lambda: len(callers.ready) == len(fleet.entries), START_S):
@@ -74,7 +76,7 @@
     finally:
         for task in background + list(callers.tasks):
             task.cancel()
-        for process in fleet.controls + fleet.entries:
+        for process in fleet.processes():
             process.note_own_end()
             for code in process.own_ends:
                 oracle.fail("own ends", f"{process.name} ended with code {code}")
@@ -91,6 +93,8 @@
     order = random.Random(seed).sample(fleet.controls + fleet.entries, len(fleet.controls + fleet.entries))
     for process in order:
         process.binary = fleet.binary
+        if process.gone:
+            continue
         process.signal(signal.SIGKILL if process.role == "control" else signal.SIGTERM)
         await process.ended()
         process.start()
