A client that names no time left is rejected at once

What callers saw: a request with X-Daisyhaven-Request-Deadline-Ms: 0 was passed on, and its server was handed the time of the route, though nobody waits for the answer.

Change: it holds as a deadline that has passed, so the request is rejected as not run.

--- a/src/gateway/exchangeadmission.cpp
+++ b/src/gateway/exchangeadmission.cpp
@@ -3,6 +3,7 @@
 
 #include <xxhash.h>
 
+#include <algorithm>
 #include <charconv>
 
 namespace daisyhaven::gateway {
@@ -163,8 +164,9 @@
     }
     std::int64_t milliseconds = 0;
     const auto parsed = std::from_chars(field->data(), field->data() + field->size(), milliseconds);
-    if (parsed.ec == std::errc() && milliseconds > 0) {
-        deadline_ = startedAt_ + Milliseconds(milliseconds);
+    if (parsed.ec == std::errc()) {
+        // A client that waits no longer says 0.
+        deadline_ = startedAt_ + Milliseconds(std::max<std::int64_t>(milliseconds, 0));
     }
 }
 
--- a/src/gateway/executionstatus_test.cpp
+++ b/src/gateway/executionstatus_test.cpp
@@ -145,5 +145,37 @@
                                            LostConnectionCase { "relayed", "/write/1", true }),
                          [](const auto &info) { return std::string(info.param.name); });
 
+// ---- no time left ----
+
+struct NoTimeCase
+{
+    const char *name;
+    const char *path;
+    Milliseconds timeLeft;
+};
+
+class NoTimeLeft : public GatewayFleet, public ::testing::WithParamInterface<NoTimeCase>
+{
+};
+
+// Guards against servers that are handed the time of the route because a client's time of 0 was
+// taken for none named.
+TEST_P(NoTimeLeft, IsRejectedAtOnceAndNotRun)
+{
+    startSendingVm({ localAddress(Backend) }, false);
+    const Instant sentAt = timers_.now();
+    send(GetParam().path, "body", GetParam().timeLeft);
+    ASSERT_TRUE(runUntil([&] { return response_.complete; }));
+    EXPECT_LT(timers_.now() - sentAt, Milliseconds(500));
+    EXPECT_EQ(runs_, 0);
+    EXPECT_TRUE(promisesNotExecuted(response_.head.status)) << response_.head.status;
+}
+
+INSTANTIATE_TEST_SUITE_P(Times, NoTimeLeft,
+                         ::testing::Values(NoTimeCase { "zeroRead", "/read/1", Milliseconds(0) },
+                                           NoTimeCase { "zeroWrite", "/write/1", Milliseconds(0) },
+                                           NoTimeCase { "negative", "/read/1", Milliseconds(-5) }),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 } // namespace
 } // namespace daisyhaven::gateway
