Bodies in chunks are read by what bodyLength() finds, in any spelling

A chunk with an extension kept its request waiting until the deadline.

Cause: bodyLength() takes any spelling for chunked, while libevhtp's parser, which read the body, knows two; nothing compared the two findings. The same parser never ends a chunk with an extension.

Change: libevhtp's parser stops at the head of a message in chunks, and ChunkDecoder reads the body: extensions and trailers are skipped and bounded, sizes and line ends are checked strictly.

--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -1,4 +1,5 @@
 #include "http/http.h"
+#include "http/internal/chunkdecoder.h"
 #include "testing/eventloop.h"
 
 #include <event2/buffer.h>
@@ -154,6 +155,10 @@
                        "HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: chunked\r\n\r\n"
                        "3\r\nabc\r\n0\r\n\r\n",
                        ConnectionEnd::Keep, "abc", true },
+        ResponseCase { "chunkedInCapitals",
+                       "HTTP/1.1 200 OK\r\nX-Id: mine\r\nTransfer-Encoding: CHUNKED\r\n\r\n"
+                       "3;a=b\r\nabc\r\n0\r\n\r\n",
+                       ConnectionEnd::Keep, "abc", true },
         ResponseCase { "endsWithItsConnection", "HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\nabc",
                        ConnectionEnd::Close, "abc", false },
         ResponseCase { "withoutLengthAndReset", "HTTP/1.1 200 OK\r\nX-Id: mine\r\n\r\nabc",
@@ -383,15 +388,91 @@
     EXPECT_FALSE(client.mayHaveSentRequest());
 }
 
-// Guards against a request that waits for its end until its deadline because a chunk has an
-// extension.
-TEST(KnownRedChunkExtension, IsIgnored)
+struct ChunkSpellingCase
+{
+    const char *name;
+    const char *from;
+    const char *to;
+};
+
+class ChunkSpelling : public ::testing::TestWithParam<ChunkSpellingCase>
+{
+};
+
+// Guards against a request that runs with an empty body, while the bytes of its chunks begin the
+// next one, because only two spellings of the coding's name were taken for it; and against one that
+// waits until its deadline because a chunk has an extension.
+TEST_P(ChunkSpelling, MakesNoDifference)
 {
     std::string message = TrailedRequest;
-    message.replace(message.find("5\r\nhello"), 1, "5;note=x");
-    EXPECT_EQ(parseFragments(message, {}), parseFragments(TrailedRequest, {}));
+    const std::string from = GetParam().from;
+    message.replace(message.find(from), from.size(), GetParam().to);
+    std::string expected = parseFragments(TrailedRequest, {});
+    if (const auto field = expected.find(from); field != std::string::npos) {
+        expected.replace(field, from.size(), GetParam().to); // fields are reported as they came
+    }
+    EXPECT_EQ(parseFragments(message, {}), expected);
+    for (std::size_t splitOffset = 1; splitOffset < message.size(); ++splitOffset) {
+        EXPECT_EQ(parseFragments(message, { splitOffset }), expected) << splitOffset;
+    }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Spellings, ChunkSpelling,
+    ::testing::Values(ChunkSpellingCase { "capitals", "chunked", "CHUNKED" },
+                      ChunkSpellingCase { "mixedCase", "chunked", "chunKed" },
+                      ChunkSpellingCase { "firstCapital", "chunked", "Chunked" },
+                      ChunkSpellingCase { "extension", "5\r\nhello", "5;note=x\r\nhello" },
+                      ChunkSpellingCase { "quotedExtension", "5\r\nhello",
+                                          "5 ; note=\"a;b\"\r\nhello" },
+                      ChunkSpellingCase { "leadingZeros", "5\r\nhello", "0005\r\nhello" },
+                      ChunkSpellingCase { "blankBehindSize", "5\r\nhello", "5 \r\nhello" },
+                      ChunkSpellingCase { "extensionOfTheLast", "0\r\nX-Sum", "0;last\r\nX-Sum" }),
+    [](const auto &info) { return info.param.name; });
+
+struct MalformedChunksCase
+{
+    const char *name;
+    std::string body;
+};
+
+class MalformedChunks : public ::testing::TestWithParam<MalformedChunksCase>
+{
+};
+
+TEST_P(MalformedChunks, AreRefused)
+{
+    internal::ChunkDecoder decoder(100);
+    std::string received;
+    decoder.decode(GetParam().body, [&](std::string_view part) {
+        received += part;
+        return true;
+    });
+    EXPECT_EQ(decoder.state(), internal::ChunkDecoder::State::Malformed) << received;
 }
 
+INSTANTIATE_TEST_SUITE_P(
+    Bodies, MalformedChunks,
+    ::testing::Values(
+        MalformedChunksCase { "noSize", "\r\nhello\r\n0\r\n\r\n" },
+        MalformedChunksCase { "noDigit", "g\r\nhello\r\n0\r\n\r\n" },
+        MalformedChunksCase { "negative", "-5\r\nhello\r\n0\r\n\r\n" },
+        MalformedChunksCase { "prefix", "0x5\r\nhello\r\n0\r\n\r\n" },
+        MalformedChunksCase { "twoSizes", "5 5\r\nhello\r\n0\r\n\r\n" },
+        MalformedChunksCase { "overflow", "fffffffffffffffff5\r\nhello\r\n0\r\n\r\n" },
+        MalformedChunksCase { "tooLarge", "ffffffffffffffff\r\nhello" },
+        MalformedChunksCase { "lineFeedOnly", "5\nhello\r\n0\r\n\r\n" },
+        MalformedChunksCase { "controlInExtension", "5;a=\rb\r\nhello\r\n0\r\n\r\n" },
+        MalformedChunksCase { "moreThanItsSize", "5\r\nhello!\r\n0\r\n\r\n" },
+        MalformedChunksCase { "moreThanItsSizeWithoutLineEnd", "5\r\nhello!!" },
+        MalformedChunksCase { "endlessSizeLine",
+                              "5;" + std::string(internal::ChunkDecoder::MaxSizeLineBytes, 'x') },
+        MalformedChunksCase { "endlessTrailers", "0\r\n" + std::string(101, 'x') },
+        MalformedChunksCase { "tooManyTrailers",
+                              "0\r\nA: " + std::string(60, 'x') + "\r\nB: " + std::string(60, 'x')
+                                  + "\r\n\r\n" }),
+    [](const auto &info) { return std::string(info.param.name); });
+
 // ---- responses from within a callback ----
 
 // Sends one response to each request from within the callback that reports this part of it.
--- a/src/http/internal/message.h
+++ b/src/http/internal/message.h
@@ -1,13 +1,16 @@
-// Parses HTTP/1.1 messages with libevhtp's parser; private to the http package.
+// Parses HTTP/1.1 messages: heads and bodies of a known length with libevhtp's parser, chunks with
+// a decoder of our own. What bodyLength() finds decides between them. Private to the http package.
 #pragma once
 
 #include "http/http.h"
+#include "http/internal/chunkdecoder.h"
 
 extern "C" {
 #include <evhtp/parser.h>
 }
 
 #include <memory>
+#include <optional>
 
 namespace daisyhaven::http::internal {
 
@@ -54,7 +57,7 @@
 private:
     friend struct ParserCallbacks;
 
-    std::size_t skipTrailers(std::string_view data);
+    std::size_t decodeChunks(std::string_view data);
 
     struct ParserDeleter
     {
@@ -69,9 +72,8 @@
     std::size_t headBytes_ = 0;
     bool headParsed_ = false;
     bool inMessage_ = false;
-    // The last chunk of the body has been parsed; its trailer section follows.
-    bool inTrailers_ = false;
-    std::size_t trailerBytes_ = 0;
+    // Set while a body in chunks is decoded.
+    std::optional<ChunkDecoder> chunks_;
     ParseState state_ = ParseState::NeedsInput;
 };
 
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -127,11 +127,23 @@
         } else {
             head.status = static_cast<int>(htparser_get_status(parser));
         }
+        const bool chunked = isChunked(head);
         if (!messageParser.sink_.onHead(std::move(head))) {
             messageParser.state_ = ParseState::Rejected;
             return 1;
         }
-        return 0;
+        if (chunked) {
+            messageParser.chunks_.emplace(MaxHeadBytes);
+        }
+        // Stops libevhtp's parser before a body in chunks.
+        return chunked ? 1 : 0;
+    }
+
+    static bool isChunked(const RawHead &head)
+    {
+        const auto found = attempt([&] { return bodyLength(head.headers, head.minor); });
+        const auto *length = std::get_if<BodyLength>(&found);
+        return length != nullptr && length->framing == Framing::Chunked;
     }
 
     static int body(htparser *parser, const char *data, size_t length)
@@ -144,13 +156,6 @@
         return 0;
     }
 
-    // Stops the parser, which would take the first line of a trailer section for its end.
-    static int lastChunk(htparser *parser)
-    {
-        parserOf(parser).inTrailers_ = true;
-        return 1;
-    }
-
     // Stops the parser, so that it does not consume bytes of the next message.
     static int end(htparser *parser)
     {
@@ -171,7 +176,6 @@
     parserCallbacks.hdr_val = &ParserCallbacks::fieldValue;
     parserCallbacks.on_hdrs_complete = &ParserCallbacks::headComplete;
     parserCallbacks.body = &ParserCallbacks::body;
-    parserCallbacks.on_chunks_complete = &ParserCallbacks::lastChunk;
     parserCallbacks.on_msg_complete = &ParserCallbacks::end;
     return parserCallbacks;
 }
@@ -193,33 +197,27 @@
     headBytes_ = 0;
     headParsed_ = false;
     inMessage_ = false;
-    inTrailers_ = false;
-    trailerBytes_ = 0;
+    chunks_.reset();
     state_ = ParseState::NeedsInput;
 }
 
-// Skips the fields after the last chunk: none of them is forwarded. The empty line after them ends
-// the message. Returns the number of consumed bytes.
-std::size_t MessageParser::skipTrailers(std::string_view data)
+// Returns the number of consumed bytes.
+std::size_t MessageParser::decodeChunks(std::string_view data)
 {
-    std::size_t consumed = 0;
-    while (state_ == ParseState::NeedsInput) {
-        const std::size_t lineEnd = data.find('\n', consumed);
-        const bool complete = lineEnd != std::string_view::npos;
-        const std::size_t length = (complete ? lineEnd + 1 : data.size()) - consumed;
-        if (trailerBytes_ + length > MaxHeadBytes) {
-            state_ = ParseState::Malformed;
-            break;
-        }
-        if (!complete) {
-            break;
-        }
-        const std::string_view line = data.substr(consumed, length);
-        consumed += length;
-        trailerBytes_ += length;
-        if (line == "\r\n" || line == "\n") {
-            state_ = ParseState::Finished;
-        }
+    const std::size_t consumed =
+        chunks_->decode(data, [this](std::string_view part) { return sink_.onBody(part); });
+    switch (chunks_->state()) {
+    case ChunkDecoder::State::NeedsInput:
+        break;
+    case ChunkDecoder::State::Finished:
+        state_ = ParseState::Finished;
+        break;
+    case ChunkDecoder::State::Malformed:
+        state_ = ParseState::Malformed;
+        break;
+    case ChunkDecoder::State::Stopped:
+        state_ = ParseState::Rejected;
+        break;
     }
     return consumed;
 }
@@ -270,9 +268,9 @@
     }
     const bool headWasParsed = headParsed_;
     std::size_t consumed =
-        inTrailers_ ? 0 : htparser_run(parser_.get(), &parserCallbacks, data, length);
-    if (inTrailers_ && state_ == ParseState::NeedsInput) {
-        consumed += skipTrailers({ data + consumed, length - consumed });
+        chunks_ ? 0 : htparser_run(parser_.get(), &parserCallbacks, data, length);
+    if (chunks_ && state_ == ParseState::NeedsInput) {
+        consumed += decodeChunks({ data + consumed, length - consumed });
     }
     if (!headWasParsed) {
         headBytes_ += headParsed_ ? 0 : consumed;
@@ -285,7 +283,7 @@
         sink_.onEnd();
         return consumed;
     }
-    if (state_ == ParseState::NeedsInput && !inTrailers_
+    if (state_ == ParseState::NeedsInput && !chunks_
         && htparser_get_error(parser_.get()) != htparse_error_none) {
         // The parser also reports htparse_error_too_big for a Content-Length that is not a number.
         const bool headTooLarge = htparser_get_error(parser_.get()) == htparse_error_too_big
