A client that stops reading for some seconds keeps its connection

Cause: TCP_USER_TIMEOUT of 3 s on connections of clients. It ends a connection not only if the peer is silent, but also if the peer acknowledges every probe and takes nothing.

Change: for clients the limit is that of ClientBudget, which closes the ones that move less than 512 bytes in 10 s. Connections to backend servers keep 3 s: there it is how a lost path is noticed while a request is being sent.

Measured: GracefulClose with a pause of 6 s failed before ("after 4096 bytes"), passes now; http, gateway and crowd tests pass.

--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -148,7 +148,7 @@
     {
         Impl &impl = implOf(user);
         if ((what & BEV_EVENT_CONNECTED) != 0) {
-            internal::setSocketOptions(bufferevent_getfd(connection));
+            internal::setSocketOptions(bufferevent_getfd(connection), internal::ServerStallLimit);
             // The callback may replace the callbacks.
             if (const auto connected = impl.callbacks_.connected) {
                 connected();
--- a/src/http/http_test.cpp
+++ b/src/http/http_test.cpp
@@ -236,9 +236,21 @@
 
 // ---- closing ----
 
+struct PauseCase
+{
+    const char *name;
+    // Time for which the caller reads nothing.
+    Milliseconds pause;
+};
+
+class GracefulClose : public ::testing::TestWithParam<PauseCase>
+{
+};
+
 // Sends a response that is larger than the socket buffers and closes the connection gracefully
-// while the caller is still reading.
-TEST(GracefulClose, DeliversResponseThatCallerHasNotReadYet)
+// while the caller is still reading. Guards against callers that lose a long response because they
+// stop reading for some seconds.
+TEST_P(GracefulClose, DeliversResponseThatCallerHasNotReadYet)
 {
     constexpr std::size_t ResponseBytes = 4UL * 1024 * 1024;
     constexpr int CallerBufferBytes = 4096;
@@ -273,6 +285,9 @@
     server->endResponse();
     server->closeGracefully();
     EXPECT_TRUE(server->isClosing());
+    TimerService timers(base.get());
+    testing::runUntil(
+        base.get(), timers, [] { return false; }, GetParam().pause);
     std::size_t received = 0;
     std::array<char, 65536> buffer {};
     ssize_t length = 1;
@@ -290,6 +305,11 @@
     }
 }
 
+INSTANTIATE_TEST_SUITE_P(Callers, GracefulClose,
+                         ::testing::Values(PauseCase { "reads", Milliseconds(0) },
+                                           PauseCase { "pausesForSeconds", Milliseconds(6000) }),
+                         [](const auto &info) { return std::string(info.param.name); });
+
 // ---- fragmented messages ----
 
 // Sends `message` to a server connection in fragments that are split at `splitOffsets`, and returns
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -32,8 +32,14 @@
     Framing framing_ = Framing::None;
 };
 
-// Sets the options of HTTP sockets: TCP_NODELAY, keep-alive probes and a timeout for unacknowledged
-// data.
-void setSocketOptions(int socket);
+// Time for which a backend server may take none of the data that it was sent.
+constexpr Milliseconds ServerStallLimit { 3000 };
+// The same for a client. The kernel ends the connection also if the client, which may just be busy,
+// acknowledges every probe and takes nothing, so the limit is that of ClientBudget.
+constexpr Milliseconds ClientStallLimit = ClientBudget::ProgressPeriod;
+
+// Sets the options of HTTP sockets: TCP_NODELAY, keep-alive probes and the time for which the peer
+// may take none of the data that it was sent.
+void setSocketOptions(int socket, Milliseconds stallLimit);
 
 } // namespace daisyhaven::http::internal
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -51,7 +51,7 @@
           callbacks_(std::move(callbacks)), parser_(htp_type_request, *this),
           budget_(account.budget), endEvent_(evtimer_new(base, &Impl::onEndEvent, this))
     {
-        internal::setSocketOptions(socket);
+        internal::setSocketOptions(socket, internal::ClientStallLimit);
         bufferevent_setcb(transport_.get(), &Impl::onReadable, &Impl::onOutputDrained,
                           &Impl::onEvent, this);
         bufferevent_setwatermark(transport_.get(), EV_READ, 0, InputHighWatermarkBytes);
--- a/src/http/transport.cpp
+++ b/src/http/transport.cpp
@@ -18,7 +18,6 @@
 constexpr int KeepAliveIdleSeconds = 5;
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbes = 3;
-constexpr int UnacknowledgedDataTimeoutMs = 3000;
 
 } // namespace
 
@@ -86,15 +85,16 @@
     }
 }
 
-void setSocketOptions(int socket)
+void setSocketOptions(int socket, Milliseconds stallLimit)
 {
     const int on = 1;
+    const int stallLimitMs = static_cast<int>(stallLimit.count());
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
     setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &KeepAliveIdleSeconds, sizeof(int));
     setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &KeepAliveIntervalSeconds, sizeof(int));
     setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &KeepAliveProbes, sizeof(int));
-    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &UnacknowledgedDataTimeoutMs, sizeof(int));
+    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &stallLimitMs, sizeof(int));
 }
 
 } // namespace daisyhaven::http::internal
