--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -1,20 +1,18 @@
 #include "coordination/coordination.h"
 #include "coordination/internal/announcementchecks.h"
-#include "coordination/internal/completeviewcache.h"
 #include "coordination/internal/controllog.h"
 #include "coordination/internal/documenthistory.h"
 #include "coordination/internal/durablestate.h"
 #include "coordination/internal/groupmembership.h"
 #include "coordination/internal/leaderhandover.h"
 #include "coordination/internal/rolloutcoordinator.h"
-#include "coordination/internal/viewchangelog.h"
 #include "coordination/internal/viewcodec.h"
+#include "coordination/internal/viewserver.h"
 #include "coordination/internal/vmregistry.h"
 #include "observe/observe.h"
 #include "text/text.h"
 
 #include <algorithm>
-#include <list>
 #include <random>
 
 namespace daisyhaven::coordination {
@@ -22,12 +20,6 @@
 namespace {
 
 constexpr Milliseconds TickPeriod { 20 };
-// Time for which a view request is held open (long polling) while nothing changes. Replies that are
-// delayed on a busy link must still arrive within LeaderTimeout.
-constexpr Milliseconds LongPollTimeout { 250 };
-// Changes of servers are published in batches, at most one per period. Changes of suspicions wait
-// for the next response: VMs use them only without a leader.
-constexpr Milliseconds ServerPublishPeriod { 100 };
 // Fraction of its burst with which a team starts under a new leader. The previous leader may have
 // admitted a whole burst and the rate; a third of a burst on top stays within the overshoot that is
 // tolerated in a window.
@@ -72,7 +64,8 @@
                   *command.mutable_rollout() = toWire(rollout);
                   propose(std::move(command), done);
               },
-              &wallClockMs)
+              &wallClockMs),
+          views_({ state_, directory_, runner_, entryVms_ }, [this] { return leaderRedirect(); })
     {
     }
 
@@ -241,20 +234,6 @@
     }
 
 private:
-    // A view request that is held open until the view changes or `respondBy` has passed.
-    struct Watcher
-    {
-        std::string vm;
-        bool wantsRelays = false;
-        bool relayed = false;
-        bool downloadsDocuments = false;
-        std::uint64_t epoch = 0;
-        std::uint64_t sequence = 0;
-        std::uint64_t documentIndex = 0;
-        Instant respondBy;
-        peer::Responder respond;
-    };
-
     using SlotResponder = std::function<void(std::variant<wire::SlotAnswer, Failure>)>;
 
     // Runs `check`, which returns Result<void>. Returns true if it failed; `done` has the failure.
@@ -425,8 +404,7 @@
         const std::uint64_t epoch = runner_.replica().term();
         scheduler_ = std::make_unique<scheduler::Scheduler>(epoch, options_.limits,
                                                             std::random_device {}(), now);
-        viewChanges_ = ViewChangeLog();
-        publishedSequence_ = 0;
+        views_.startLeading(*scheduler_);
         applyRoutingTable(
             { BurstFractionAfterFailover, runner_.replica().leaderlessTimeBeforeElection() });
         scheduler_->setZonesOutOfService(now, state_.zonesOutOfService());
@@ -467,6 +445,7 @@
     void stopLeading()
     {
         rollouts_.stopLeading();
+        views_.stopLeading();
         scheduler_.reset();
         serversToPersist_.clear();
         leaderClient_.setActive(true);
@@ -481,11 +460,6 @@
         for (auto &[key, respond] : requests) {
             respond(notLeader);
         }
-        std::list<Watcher> watchers;
-        watchers.swap(watchers_);
-        for (Watcher &watcher : watchers) {
-            watcher.respond(encodeRedirectView(watcher));
-        }
     }
 
     // Logs what holds memory each time the heap has grown by MemoryReportStep beyond its last
@@ -514,7 +488,7 @@
             startLeading();
         }
         if (!isLeading()) {
-            respondWithoutLeading(now);
+            views_.respondWithoutLeading(now);
             return;
         }
         scheduler_->tick(now);
@@ -526,12 +500,8 @@
         rollouts_.tick(now);
         persistChangedServers(now);
         executeActions();
-        if (serversChanged_ && now - serversPublishedAt_ >= ServerPublishPeriod) {
-            serversChanged_ = false;
-            serversPublishedAt_ = now;
-            publishedSequence_ = viewChanges_.sequence();
-        }
-        respondToWatchers(now);
+        views_.publishServers(now);
+        views_.respondToWaiting(now);
     }
 
     // Proposes a command with the changed servers; no caller waits for its commit.
@@ -571,8 +541,7 @@
                        { "sequence", entry->announcement.sequence } });
         }
         updateScheduler(id);
-        viewChanges_.recordChange(id);
-        serversChanged_ = true;
+        views_.recordServerChange(id);
     }
 
     void updateScheduler(const std::string &id)
@@ -585,11 +554,10 @@
     void onServerRemoved(const std::string &id)
     {
         scheduler_->removeServer(id);
-        viewChanges_.recordRemoval(id);
+        views_.recordServerRemoval(id);
         if (state_.servers().count(id) != 0) {
             serversToPersist_.insert(id);
         }
-        serversChanged_ = true;
     }
 
     // ---- internal calls ----
@@ -621,30 +589,11 @@
             });
     }
 
-    static Watcher makeWatcher(Instant now, const wire::FleetViewRequest &request,
-                               const peer::Responder &respond)
-    {
-        return { request.vm(),
-                 request.wants_relays(),
-                 request.relayed(),
-                 request.downloads_documents(),
-                 request.epoch(),
-                 request.sequence(),
-                 request.document_index(),
-                 now + LongPollTimeout,
-                 respond };
-    }
-
     void handleViewRequest(const wire::FleetViewRequest &request, const peer::Responder &respond)
     {
         const Instant now = timers_.now();
         if (!isLeading()) {
-            Watcher watcher = makeWatcher(now, request, respond);
-            if (leaderRedirect().leader || watcher.documentIndex < state_.lastChangeIndex()) {
-                watcher.respond(encodeRedirectView(watcher));
-            } else {
-                watchers_.push_back(std::move(watcher));
-            }
+            views_.answerWithoutLeading(now, request, respond);
             return;
         }
         entryVms_.recordContact(now,
@@ -665,120 +614,7 @@
             scheduler_->setExternalSlots(now, request.vm(), held);
             executeActions();
         }
-        Watcher watcher = makeWatcher(now, request, respond);
-        const bool isUrgent = request.disconnected() && request.wants_relays();
-        if (isOutdated(watcher) || isUrgent) {
-            watcher.respond(encodeView(now, watcher));
-            return;
-        }
-        watchers_.push_back(std::move(watcher));
-    }
-
-    bool isOutdated(const Watcher &watcher) const
-    {
-        const bool needsServers =
-            watcher.epoch != scheduler_->epoch() || watcher.sequence < publishedSequence_;
-        return (needsServers && !watcher.relayed)
-            || watcher.documentIndex < state_.lastChangeIndex();
-    }
-
-    // Adds the version, the zones out of service and the roll-outs, which may be ordered before the
-    // first configuration, and the document for a VM of an earlier release.
-    void addState(const Watcher &watcher, wire::FleetViewReply *reply) const
-    {
-        if (watcher.documentIndex < state_.lastChangeIndex()) {
-            reply->set_has_document(true);
-            reply->set_document_index(state_.lastChangeIndex());
-            *reply->mutable_state() = state_.toViewState(!watcher.downloadsDocuments);
-        }
-    }
-
-    // Returns an encoded FleetViewReply of a replica that doesn't lead.
-    std::string encodeRedirectView(const Watcher &watcher) const
-    {
-        wire::FleetViewReply reply;
-        reply.set_leader(false);
-        if (const auto leader = leaderRedirect().leader) {
-            reply.set_leader_address(leader->toString());
-        }
-        addMembers(&reply);
-        addState(watcher, &reply);
-        return reply.SerializeAsString();
-    }
-
-    void addMembers(wire::FleetViewReply *reply) const
-    {
-        for (const consensus::MemberInfo &member : runner_.replica().members()) {
-            reply->add_members(member.peerAddress);
-        }
-    }
-
-    // Returns an encoded FleetViewReply.
-    std::string encodeView(Instant now, const Watcher &watcher)
-    {
-        wire::FleetViewReply reply;
-        reply.set_leader(true);
-        reply.set_epoch(scheduler_->epoch());
-        reply.set_sequence(viewChanges_.sequence());
-        reply.set_entry_vms(static_cast<std::uint32_t>(entryVms_.size()));
-        addLoadSummary(now, *scheduler_, &reply);
-        if (watcher.wantsRelays) {
-            for (std::string &relay : entryVms_.pickRelays(now, watcher.vm, random_)) {
-                reply.add_relays(std::move(relay));
-            }
-            for (const RequestRelay &relay :
-                 entryVms_.pickRequestRelays(now, watcher.vm, random_)) {
-                wire::RequestRelay *named = reply.add_request_relays();
-                named->set_address(relay.address);
-                named->set_availability_zone(relay.zone);
-            }
-        }
-        addState(watcher, &reply);
-        if (watcher.relayed) {
-            reply.set_servers_omitted(true);
-            return reply.SerializeAsString();
-        }
-        const bool incremental =
-            watcher.epoch == scheduler_->epoch() && viewChanges_.covers(watcher.sequence);
-        if (incremental) {
-            addChangedServers(now, watcher.sequence, &reply);
-            addRemovedServers(watcher.sequence, &reply);
-            return reply.SerializeAsString();
-        }
-        addMembers(&reply);
-        const EncodedServers &servers =
-            completeViewCache_.get(now, scheduler_->epoch(), [&] { return encodeAllServers(now); });
-        reply.set_complete(true);
-        reply.set_sequence(servers.sequence);
-        // The concatenation of two encoded messages is the encoding of the merged message.
-        return reply.SerializeAsString() + servers.bytes;
-    }
-
-    EncodedServers encodeAllServers(Instant now) const
-    {
-        wire::FleetViewReply reply;
-        addChangedServers(now, 0, &reply);
-        return { viewChanges_.sequence(), reply.SerializeAsString() };
-    }
-
-    // Adds the servers that changed after sequence number `since`.
-    void addChangedServers(Instant now, std::uint64_t since, wire::FleetViewReply *reply) const
-    {
-        for (const std::string &id : viewChanges_.changedSince(since)) {
-            const directory::ServerEntry *entry = directory_.find(id);
-            if (entry != nullptr) {
-                scheduler::KnownServer server = toKnownServer(*entry, scheduler_->isSuspected(id));
-                server.requestsPerSecond = scheduler_->requestLimit(id);
-                *reply->add_changed() = toWire(now, server);
-            }
-        }
-    }
-
-    void addRemovedServers(std::uint64_t since, wire::FleetViewReply *reply) const
-    {
-        for (const std::string &id : viewChanges_.removedSince(since)) {
-            reply->add_removed(id);
-        }
+        views_.answer(now, request, respond);
     }
 
     // Schedules one update to the VMs that covers all documents and zones that change in this event
@@ -792,37 +628,11 @@
         timers_.post([this] {
             updateScheduled_ = false;
             if (isLeading()) {
-                respondToWatchers(timers_.now());
+                views_.respondToWaiting(timers_.now());
             }
         });
     }
 
-    void respondToWatchers(Instant now)
-    {
-        for (auto watcher = watchers_.begin(); watcher != watchers_.end();) {
-            if (now < watcher->respondBy && !isOutdated(*watcher)) {
-                ++watcher;
-                continue;
-            }
-            watcher->respond(encodeView(now, *watcher));
-            watcher = watchers_.erase(watcher);
-        }
-    }
-
-    // Responds to VMs whose requests arrived while there was no leader, as soon as one is known.
-    void respondWithoutLeading(Instant now)
-    {
-        const bool leaderKnown = leaderRedirect().leader.has_value();
-        for (auto watcher = watchers_.begin(); watcher != watchers_.end();) {
-            if (!leaderKnown && now < watcher->respondBy) {
-                ++watcher;
-                continue;
-            }
-            watcher->respond(encodeRedirectView(*watcher));
-            watcher = watchers_.erase(watcher);
-        }
-    }
-
     void handleSlotRequest(const wire::SlotQuestion &message, SlotResponder respond)
     {
         if (!isLeading()) {
@@ -897,7 +707,7 @@
                    { "failingPercent", static_cast<int>(change.failureProbability * 100) },
                    { "cause", change.cause },
                    { "epoch", scheduler_->epoch() } });
-        viewChanges_.recordChange(change.serverId);
+        views_.recordFinding(change.serverId);
     }
 
     void execute(const scheduler::RequestLimitChange &change)
@@ -905,7 +715,7 @@
         logEvent(
             Event::ServerLimitChanged,
             { { "server", change.serverId }, { "requestsPerSecond", change.requestsPerSecond } });
-        viewChanges_.recordChange(change.serverId);
+        views_.recordFinding(change.serverId);
     }
 
     void execute(const scheduler::VersionResult &result)
@@ -932,7 +742,6 @@
     GroupMembership membership_;
     RolloutCoordinator rollouts_;
     directory::Directory directory_;
-    ViewChangeLog viewChanges_;
     std::unique_ptr<scheduler::Scheduler> scheduler_;
     // The table that scheduler_ uses.
     std::shared_ptr<const routing::RoutingTable> routingTable_;
@@ -940,18 +749,12 @@
     std::uint64_t lastProposal_ = 0;
     std::map<std::uint64_t, ChangeCallback> pendingProposals_;
     std::map<scheduler::SlotRequestKey, SlotResponder> slotRequests_;
-    std::list<Watcher> watchers_;
     VmRegistry entryVms_;
-    CompleteViewCache completeViewCache_;
-    std::mt19937_64 random_ { std::random_device {}() };
+    ViewServer views_;
     std::set<std::string> serversToPersist_;
     Instant serversPersistedAt_;
     std::size_t reportedHeapBytes_ = 0;
     bool updateScheduled_ = false;
-    // Servers changed after `publishedSequence_`, up to which every VM is told at once.
-    bool serversChanged_ = false;
-    Instant serversPublishedAt_;
-    std::uint64_t publishedSequence_ = 0;
     TimerHandle tick_;
     TimerHandle memoryTick_;
 };
