GroupMembership: one log line for a change; a member that starts again stays

textOf() tells the kinds of a change apart where logChange() stood thrice. A member that asks to join again after it said that it stops is taken back at its word.

--- a/src/coordination/groupmembership.cpp
+++ b/src/coordination/groupmembership.cpp
@@ -13,28 +13,37 @@
 // The group lets a replica go within some periods unless it has no leader.
 constexpr Milliseconds MaxLeaveTime { 1000 };
 
+// What a log line says of a change; no replica: empty.
+struct ChangeText
+{
+    std::string incoming; // address
+    std::string outgoing; // replica ID
+    std::string reason;
+};
+
+ChangeText textOf(const AddReplica &add)
+{
+    return { add.member.peerAddress, "", add.reason };
+}
+
+ChangeText textOf(const ReplaceReplica &replace)
+{
+    return { replace.incoming.peerAddress, replace.outgoing, replace.reason };
+}
+
+ChangeText textOf(const RemoveReplica &remove)
+{
+    return { "", remove.replicaId, remove.reason };
+}
+
 void logChange(const MembershipChange &change, std::size_t members)
 {
-    if (const auto *add = std::get_if<AddReplica>(&change)) {
-        logEvent(Event::ControlMemberDecided,
-                 { { "incoming", add->member.peerAddress },
-                   { "outgoing", "" },
-                   { "reason", add->reason },
-                   { "members", members } });
-    } else if (const auto *replace = std::get_if<ReplaceReplica>(&change)) {
-        logEvent(Event::ControlMemberDecided,
-                 { { "incoming", replace->incoming.peerAddress },
-                   { "outgoing", replace->outgoing },
-                   { "reason", replace->reason },
-                   { "members", members } });
-    } else {
-        const auto &remove = std::get<RemoveReplica>(change);
-        logEvent(Event::ControlMemberDecided,
-                 { { "incoming", "" },
-                   { "outgoing", remove.replicaId },
-                   { "reason", remove.reason },
-                   { "members", members } });
-    }
+    const ChangeText text = std::visit([](const auto &kind) { return textOf(kind); }, change);
+    logEvent(Event::ControlMemberDecided,
+             { { "incoming", text.incoming },
+               { "outgoing", text.outgoing },
+               { "reason", text.reason },
+               { "members", members } });
 }
 
 } // namespace
--- a/src/coordination/membershipcontroller.cpp
+++ b/src/coordination/membershipcontroller.cpp
@@ -56,6 +56,7 @@
         const bool done = superseded || isExpired(now, request->second);
         request = done ? joinRequests_.erase(request) : std::next(request);
     }
+    leavingSaidAt_.erase(member.replicaId); // it has started again
     const auto added = joinRequests_.emplace(member.replicaId, JoinRequest { member, now, now });
     added.first->second.receivedAt = now;
 }
