Gateway: CallerSession has files of its own

gateway.cpp held two classes: the connection of a caller and the gateway. No change of behaviour. executionstatus_test and uploadbackpressure_test pass.

--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -1,8 +1,8 @@
 #include "gateway/gateway.h"
 
 #include "gateway/internal/backendconnectionpool.h"
+#include "gateway/internal/callersession.h"
 #include "gateway/internal/context.h"
-#include "gateway/internal/exchange.h"
 #include "gateway/internal/reachabilitymonitor.h"
 #include "gateway/internal/requestrelays.h"
 #include "gateway/internal/slotclient.h"
@@ -27,57 +27,7 @@
 
 } // namespace
 
-// One connection of a caller with its current request.
-class CallerSession : public http::ResponseSink, public std::enable_shared_from_this<CallerSession>
-{
-public:
-    CallerSession(Gateway::Impl &gateway, std::uint64_t id, RequestOrigin origin)
-        : gateway_(gateway), id_(id), origin_(origin)
-    {
-    }
-
-    void open(event_base *base, int socket, http::ClientAccount account);
-    bool isBusy() const
-    {
-        return exchange_ != nullptr || callerDisconnected_ || connection_->hasPendingOutput()
-            || connection_->isReadingMessage() || connection_->isClosing();
-    }
-    bool hasActiveExchange() const { return exchange_ != nullptr || callerDisconnected_; }
-    bool isRelayedExchange() const
-    {
-        return origin_ == RequestOrigin::OtherVm && hasActiveExchange();
-    }
-    bool isReadingMessage() const { return connection_->isReadingMessage(); }
-    Instant lastReceived() const { return connection_->lastReceived(); }
-    void abort() { connection_->abort(); }
-    void closeGracefully() { connection_->closeGracefully(); }
-
-    void sendHead(int status, const http::Headers &headers, http::Framing framing,
-                  std::uint64_t length) override;
-    void sendBody(std::string_view data) override { connection_->sendBody(data); }
-    void endResponse() override { connection_->endResponse(); }
-    void abortResponse() override { connection_->abort(); }
-    void sendContinue() override { connection_->sendContinue(); }
-    void pauseBody() override { connection_->pauseReading(); }
-    void resumeBody() override { connection_->resumeReading(); }
-    bool isOutputFull() const override { return connection_->isOutputFull(); }
-
-private:
-    void startExchange(http::RequestHead head);
-    void exchangeFinished();
-    void rejectInvalid(const Failure &failure);
-    void onClosed();
-
-    Gateway::Impl &gateway_;
-    std::uint64_t id_;
-    RequestOrigin origin_;
-    bool callerDisconnected_ =
-        false; // the caller closed its connection while its request is still in progress
-    std::shared_ptr<Exchange> exchange_;
-    std::unique_ptr<http::ServerConnection> connection_;
-};
-
-class Gateway::Impl
+class Gateway::Impl : public CallerSession::Owner
 {
 public:
     Impl(event_base *base, TimerService &timers, peer::Server &server, peer::ClientPool &clients,
@@ -128,15 +78,15 @@
     }
 
     bool isReady() const { return !stoppingSince_ && leader_.view().routingTable != nullptr; }
-    bool isStopping() const { return stoppingSince_.has_value(); }
-    bool mayRelay() const
+    bool isStopping() const override { return stoppingSince_.has_value(); }
+    bool mayRelay() const override
     {
         const auto relayed =
             std::count_if(sessions_.begin(), sessions_.end(),
                           [](const auto &session) { return session.second->isRelayedExchange(); });
         return !isStopping() && relayed <= MaxRelayedRequests;
     }
-    const GatewayContext &context() const { return context_; }
+    const GatewayContext &context() const override { return context_; }
     void setSeeds(std::vector<peer::Address> seeds) { leader_.setSeeds(std::move(seeds)); }
 
     void drain(std::function<void()> finished)
@@ -151,7 +101,7 @@
             timers_.runAfter(options_.gracePeriod - ShutdownReserve, [this] { finishShutdown(); });
     }
 
-    void removeSession(std::uint64_t id)
+    void removeSession(std::uint64_t id) override
     {
         auto node = sessions_.extract(id);
         if (!node.empty()) {
@@ -267,103 +217,6 @@
     TimerHandle shutdownTimer_;
 };
 
-void CallerSession::open(event_base *base, int socket, http::ClientAccount account)
-{
-    http::ServerConnection::Callbacks callbacks;
-    callbacks.head = [this](http::RequestHead head) { startExchange(std::move(head)); };
-    callbacks.body = [this](std::string_view data) {
-        if (const auto exchange = exchange_) {
-            exchange->onBodyData(data);
-        }
-    };
-    callbacks.end = [this] {
-        if (const auto exchange = exchange_) {
-            exchange->onBodyEnd();
-        }
-    };
-    callbacks.invalidMessage = [this](const Failure &failure) { rejectInvalid(failure); };
-    callbacks.closed = [this] { onClosed(); };
-    callbacks.drained = [this] {
-        if (const auto exchange = exchange_) {
-            exchange->onSinkDrained();
-        }
-    };
-    callbacks.refuse = [this] {
-        const auto exchange = exchange_;
-        return exchange && exchange->refuseForMemory();
-    };
-    callbacks.heldBytes = [this] { return exchange_ ? exchange_->heldBytes() : 0; };
-    connection_ =
-        std::make_unique<http::ServerConnection>(base, socket, std::move(callbacks), account);
-}
-
-void CallerSession::sendHead(int status, const http::Headers &headers, http::Framing framing,
-                             std::uint64_t length)
-{
-    if (gateway_.isStopping()) {
-        connection_->closeAfterResponse();
-    }
-    connection_->sendHead(status, headers, framing, length);
-}
-
-void CallerSession::startExchange(http::RequestHead head)
-{
-    exchange_ = std::make_shared<Exchange>(gateway_.context(), this, std::move(head), origin_);
-    const auto exchange = exchange_;
-    const std::weak_ptr<CallerSession> weak = weak_from_this();
-    const auto finished = [weak] {
-        if (const auto self = weak.lock()) {
-            self->exchangeFinished();
-        }
-    };
-    if (origin_ == RequestOrigin::OtherVm && !gateway_.mayRelay()) {
-        exchange->refuseRelayed("this VM is stopping or relays too many requests", finished);
-        return;
-    }
-    exchange->start(finished);
-}
-
-void CallerSession::exchangeFinished()
-{
-    exchange_.reset();
-    // Reading may still be paused by the body of the previous request.
-    connection_->resumeReading();
-    if (callerDisconnected_) {
-        callerDisconnected_ = false;
-        gateway_.removeSession(id_);
-    }
-}
-
-void CallerSession::rejectInvalid(const Failure &failure)
-{
-    connection_->closeAfterResponse();
-    if (const auto exchange = exchange_) {
-        exchange->onInvalidMessage(failure);
-        return;
-    }
-    http::RequestHead head;
-    head.method = "GET";
-    const auto exchange =
-        std::make_shared<Exchange>(gateway_.context(), this, std::move(head), origin_);
-    exchange_ = exchange;
-    const std::weak_ptr<CallerSession> weak = weak_from_this();
-    exchange->rejectUnparsed(failure, [weak] {
-        if (const auto self = weak.lock()) {
-            self->exchangeFinished();
-        }
-    });
-}
-
-void CallerSession::onClosed()
-{
-    if (const auto exchange = exchange_) {
-        callerDisconnected_ = true;
-        exchange->onCallerDisconnected();
-        return;
-    }
-    gateway_.removeSession(id_);
-}
-
 Gateway::Gateway(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) { }
 Gateway::~Gateway() = default;
 
