Log and count the requests that a planned stop ends, by stage

Nothing told a request that waited for a slot from one that a server worked on when the process ended. ShutdownStarted has the requests in hand by stage when the signal comes, RequestEndedByShutdown each request that the end of the process cuts, daisyhaven_requests_ended_by_shutdown_total their number.

--- a/src/gateway/exchangecompletion.cpp
+++ b/src/gateway/exchangecompletion.cpp
@@ -21,6 +21,23 @@
 
 } // namespace
 
+const char *stageName(Exchange::Stage stage)
+{
+    switch (stage) {
+    case Exchange::Stage::ReadingBody:
+        return "reading-body";
+    case Exchange::Stage::AwaitingSlot:
+        return "awaiting-slot";
+    case Exchange::Stage::CallingBackend:
+        return "calling-backend";
+    case Exchange::Stage::AwaitingVerdict:
+        return "awaiting-verdict";
+    case Exchange::Stage::Done:
+        return "done";
+    }
+    return "unknown";
+}
+
 void Exchange::reject(ResultCode cause, const std::string &detail, Duration retryAfter)
 {
     const ResultCode code = consistentWith(executionStatus(), cause);
@@ -82,6 +99,22 @@
                { "version", coordination::versionText(view.configurationVersion) } });
 }
 
+void Exchange::recordEndedByShutdown(Duration sinceSignal) const
+{
+    logEvent(Event::RequestEndedByShutdown,
+             { { "request", requestId_ },
+               { "stage", stageName(stage_) },
+               { "mayHaveRun", mayHaveRun() ? "yes" : "no" },
+               { "responseStarted", responseStarted_ ? "yes" : "no" },
+               { "relayed", isRelayed() ? "yes" : "no" },
+               { "service", service_ },
+               { "server", lastServer_ },
+               { "ageMs", (context_.now() - startedAt_).count() / 1000 },
+               { "sinceSignalMs", sinceSignal.count() / 1000 } });
+    context_.metrics.addToCounter("daisyhaven_requests_ended_by_shutdown_total",
+                                  { { "stage", stageName(stage_) } });
+}
+
 void Exchange::logIfLate() const
 {
     const Duration age = context_.now() - startedAt_;
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -96,6 +96,7 @@
         }
         stoppingSince_ = timers_.now();
         finished_ = std::move(finished);
+        logShutdownStart();
         stopAcceptingTimer_ = timers_.runAfter(StopAcceptingDelay, [this] { listener_.reset(); });
         shutdownTimer_ =
             timers_.runAfter(options_.gracePeriod - ShutdownReserve, [this] { finishShutdown(); });
@@ -183,8 +184,28 @@
         metrics_.setGauge("daisyhaven_uses_relay", {}, leader_.usesRelay() ? 1 : 0);
     }
 
+    void logShutdownStart() const
+    {
+        std::map<Exchange::Stage, std::size_t> counts;
+        for (const auto &[id, session] : sessions_) {
+            if (const Exchange *exchange = session->exchange()) {
+                ++counts[exchange->stage()];
+            }
+        }
+        std::vector<Field> fields { { "connections", sessions_.size() } };
+        for (const auto &[stage, count] : counts) {
+            fields.emplace_back(stageName(stage), count);
+        }
+        logEvent(Event::ShutdownStarted, fields);
+    }
+
     void finishShutdown()
     {
+        for (const auto &[id, session] : sessions_) {
+            if (const Exchange *exchange = session->exchange()) {
+                exchange->recordEndedByShutdown(timers_.now() - *stoppingSince_);
+            }
+        }
         const auto finished = std::move(finished_);
         finished_ = nullptr;
         if (finished) {
--- a/src/gateway/internal/callersession.h
+++ b/src/gateway/internal/callersession.h
@@ -46,6 +46,8 @@
     {
         return origin_ == RequestOrigin::OtherVm && hasActiveExchange();
     }
+    // Returns the request in progress, or nullptr.
+    const Exchange *exchange() const { return exchange_.get(); }
     bool isReadingMessage() const { return connection_->isReadingMessage(); }
     Instant lastReceived() const { return connection_->lastReceived(); }
     void abort() { connection_->abort(); }
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -52,10 +52,7 @@
     // Returns the approximate memory of the request's head and of the retained part of its body.
     std::size_t heldBytes() const { return headBytes_ + buffer_.capacity(); }
 
-private:
-    // Body size that is read before a slot is requested, and that is retained for a retry.
-    static constexpr std::size_t MaxRetainedBodyBytes = 512UL * 1024;
-
+    // What the request waits for.
     enum class Stage : std::uint8_t {
         ReadingBody,
         AwaitingSlot,
@@ -63,6 +60,13 @@
         AwaitingVerdict,
         Done
     };
+    Stage stage() const { return stage_; }
+    // Logs and counts that the end of the process ends the request, `sinceSignal` after the signal.
+    void recordEndedByShutdown(Duration sinceSignal) const;
+
+private:
+    // Body size that is read before a slot is requested, and that is retained for a retry.
+    static constexpr std::size_t MaxRetainedBodyBytes = 512UL * 1024;
 
     void admit();
     void scheduleAdmission();
@@ -173,4 +177,7 @@
     TimerHandle deadlineTimer_;
 };
 
+// Returns the name of the stage in logs and metrics.
+const char *stageName(Exchange::Stage stage);
+
 } // namespace daisyhaven::gateway
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -144,6 +144,8 @@
         { Event::ClientsClosed, "ClientsClosed", "warn",
           "Connections of clients were closed since the last such line: memory or descriptors ran "
           "short, or they made no progress." },
+        { Event::ShutdownStarted, "ShutdownStarted", "info",
+          "A planned stop begins; the number of requests in hand, by stage." },
         { Event::HealthChanged, "HealthChanged", "info", "The health page changed colour." },
         { Event::ConfigurationApplied, "ConfigurationApplied", "info",
           "A newer configuration is in force on this VM." },
@@ -239,6 +241,8 @@
           "A request goes to another backend server." },
         { Event::RequestLate, "RequestLate", "info",
           "A request was answered after the target of its route." },
+        { Event::RequestEndedByShutdown, "RequestEndedByShutdown", "warn",
+          "A planned stop ended a request before its response." },
         { Event::LedgerRecovered, "LedgerRecovered", "info",
           "A ledger replica copied its shard and counts again." },
     };
--- a/src/observe/observe.h
+++ b/src/observe/observe.h
@@ -35,6 +35,7 @@
     EventLoopDelayed = 1008,
     MetricsUnavailable = 1009,
     ClientsClosed = 1010,
+    ShutdownStarted = 1011,
     HealthChanged = 1101,
     ConfigurationApplied = 1201,
     ConfigurationStale = 1202,
@@ -88,6 +89,7 @@
     RequestRefused = 1802,
     RequestRetried = 1803,
     RequestLate = 1804,
+    RequestEndedByShutdown = 1805,
     LedgerRecovered = 1901,
 };
 
