A planned stop ends every request that waits before the process goes

Cause: a stopping gateway had one timer for its listener and one for its end, and no rule for what it holds in between. Requests kept their own deadlines, which lie beyond the grace period.

Change: src/shutdown makes one schedule when the signal comes. At sendUntil every request that no server works on ends, whatever it waits for; at respondUntil all others do; responses are delivered until exitAt.

Why it works: the end doesn't depend on the stage, so no kind of wait can outlive the process.

--- a/src/coordination/viewcodec.cpp
+++ b/src/coordination/viewcodec.cpp
@@ -250,6 +250,9 @@
     request.isRetry = message.retry();
     request.hasRateToken = message.has_token();
     request.deadline = now + Milliseconds(message.deadline_ms());
+    if (message.latest_start_ms() != 0) {
+        request.latestStart = now + Milliseconds(message.latest_start_ms());
+    }
     request.targetTime = now + Milliseconds(message.target_ms());
     request.zone = message.availability_zone();
     request.excludedServers.insert(message.avoid().begin(), message.avoid().end());
--- a/src/gateway/exchange.cpp
+++ b/src/gateway/exchange.cpp
@@ -55,7 +55,9 @@
     slotRequest.largeBody = routing::hasLargeBody(route_->kind);
     slotRequest.isRetry = retry;
     slotRequest.hasRateToken = hasRateToken_;
-    slotRequest.deadline = deadline_;
+    slotRequest.deadline =
+        context_.shutdown ? std::min(deadline_, context_.shutdown->respondUntil) : deadline_;
+    slotRequest.latestStart = sendUntil();
     slotRequest.targetTime = startedAt_ + Duration(route_->targetLatency);
     slotRequest.zone = context_.options.zone;
     slotRequest.excludedServers = context_.slots.unreachableServers(service_);
@@ -66,8 +68,22 @@
     return slotRequest;
 }
 
+Instant Exchange::sendUntil() const
+{
+    return context_.shutdown ? std::min(deadline_, context_.shutdown->sendUntil) : deadline_;
+}
+
+void Exchange::shortenWait()
+{
+    if (stage_ == Stage::AwaitingSlot && sendUntil() < deadline_) {
+        cancelSlotRequest();
+        requestSlot(slotIsForRetry_);
+    }
+}
+
 void Exchange::requestSlot(bool retry)
 {
+    slotIsForRetry_ = retry;
     if (context_.reachability.isDisconnected(service_)) {
         sendToRelay();
         return;
@@ -113,8 +129,14 @@
         onSlotRejected(*rejection);
         return;
     }
+    const Slot &slot = std::get<Slot>(result);
     hasRateToken_ = true;
-    sendToBackend(std::get<Slot>(result));
+    if (context_.shutdown && context_.now() >= sendUntil()) {
+        context_.slots.release(slot, scheduler::Outcome::NotSent, Duration(0));
+        endForShutdown();
+        return;
+    }
+    sendToBackend(slot);
 }
 
 void Exchange::onSlotRejected(const SlotRejection &rejection)
@@ -127,6 +149,13 @@
         respondWithFailure(ResultCode::BackendFailed, rejection.reason);
         return;
     }
+    const bool isTimeShort = rejection.code == ResultCode::QueueFull
+        || rejection.code == ResultCode::DeadlineUnreachable;
+    if (context_.shutdown && isTimeShort) {
+        // Another VM has more time, so the caller need not wait until the queue is shorter.
+        endForShutdown();
+        return;
+    }
     reject(rejection.code, rejection.reason, rejection.retryAfter);
 }
 
@@ -307,7 +336,7 @@
 {
     const bool idempotent = routing::isIdempotent(route_->kind);
     const bool allowed = (!mayHaveRun() || idempotent) && sink_ != nullptr && bodyRetained_;
-    const bool inTime = deadline_ - context_.now() > MinTimeForRetry;
+    const bool inTime = sendUntil() - context_.now() > MinTimeForRetry;
     return allowed && inTime && sentAttempts_ < route_->maxAttempts
         && unsentAttempts_ < MaxUnsentAttempts;
 }
@@ -490,8 +519,8 @@
     }
     if (!mayHaveRun()) {
         // Whatever the cause, the status guarantees to the caller that the request did not run.
-        const bool isDeadlineCause = code == ResultCode::DeadlineUnreachable;
-        reject(isDeadlineCause ? code : ResultCode::BackendShed, detail, RetryAfterNotRun);
+        const bool isPromised = promisesNotExecuted(resultInfo(code).httpStatus);
+        reject(isPromised ? code : ResultCode::BackendShed, detail, RetryAfterNotRun);
         return;
     }
     reject(code, detail, Duration(0));
@@ -554,11 +583,9 @@
         return;
     }
     if (stage_ != Stage::CallingBackend) {
-        cancelSlotRequest();
-        respondWithFailure(
-            mayHaveRun() ? ResultCode::BackendTimeout : ResultCode::DeadlineUnreachable,
-            stage_ == Stage::AwaitingVerdict ? "connection lost shortly before the deadline"
-                                             : "no slot granted before the deadline");
+        endEarly(mayHaveRun() ? ResultCode::BackendTimeout : ResultCode::DeadlineUnreachable,
+                 stage_ == Stage::AwaitingVerdict ? "connection lost shortly before the deadline"
+                                                  : "no slot granted before the deadline");
         return;
     }
     const bool sent = call_->executionStatus() == ExecutionStatus::MayHaveExecuted;
--- a/src/gateway/exchangecompletion.cpp
+++ b/src/gateway/exchangecompletion.cpp
@@ -75,6 +75,39 @@
     return true;
 }
 
+void Exchange::endIfWaiting()
+{
+    if (stage_ != Stage::CallingBackend) {
+        endForShutdown();
+    }
+}
+
+void Exchange::endForShutdown()
+{
+    if (stage_ == Stage::Done) {
+        return;
+    }
+    recordEndedByShutdown();
+    if (isRelayed() && !mayHaveRun() && !earlierResponse_) {
+        cancelSlotRequest();
+        releaseSlot(scheduler::Outcome::Cancelled);
+        refuseAsRelay("this VM is stopping");
+        return;
+    }
+    endEarly(mayHaveRun() ? ResultCode::VmStopped : ResultCode::Draining, "this VM is stopping");
+}
+
+void Exchange::endEarly(ResultCode cause, const std::string &detail)
+{
+    cancelSlotRequest();
+    releaseSlot(scheduler::Outcome::Cancelled);
+    if (responseStarted_) {
+        abortResponse(cause, detail);
+        return;
+    }
+    respondWithFailure(cause, detail);
+}
+
 void Exchange::logOutcome(const char *what, ResultCode code, const std::string &detail) const
 {
     const auto &view = context_.leader.view();
@@ -99,8 +132,9 @@
                { "version", coordination::versionText(view.configurationVersion) } });
 }
 
-void Exchange::recordEndedByShutdown(Duration sinceSignal) const
+void Exchange::recordEndedByShutdown() const
 {
+    const Duration sinceSignal = context_.now() - context_.shutdown->signalledAt;
     logEvent(Event::RequestEndedByShutdown,
              { { "request", requestId_ },
                { "stage", stageName(stage_) },
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -16,18 +16,15 @@
 namespace {
 
 constexpr Milliseconds ConnectionSweepInterval { 250 };
-// After the shutdown request, the load balancer needs this long to remove this VM. After that, no
-// connection is accepted and idle connections of callers are closed.
-constexpr Milliseconds StopAcceptingDelay { 2600 };
-// The shutdown finishes this long before the process would be killed.
-constexpr Milliseconds ShutdownReserve { 700 };
+// After the signal to stop, the load balancer needs this long to remove this VM.
+constexpr Milliseconds LoadBalancerDelay { 2600 };
 constexpr Seconds GaugeInterval { 10 };
 // Bounds the memory and processor time that this VM spends on requests of others.
 constexpr std::ptrdiff_t MaxRelayedRequests = 48;
 
 } // namespace
 
-class Gateway::Impl : public CallerSession::Owner
+class Gateway::Impl final : public CallerSession::Owner
 {
 public:
     Impl(event_base *base, TimerService &timers, peer::Server &server, peer::ClientPool &clients,
@@ -52,8 +49,8 @@
           pool_(base, timers), reachability_(base, timers, leader_, pool_),
           requestRelays_(std::random_device {}()),
           servicePicker_(std::random_device {}()), context_ {
-              base_,  timers_, metrics_,      options_,       leader_,
-              slots_, pool_,   reachability_, requestRelays_, servicePicker_
+              base_, timers_,       metrics_,       options_,       leader_,  slots_,
+              pool_, reachability_, requestRelays_, servicePicker_, shutdown_
           }
     {
     }
@@ -77,8 +74,8 @@
         return {};
     }
 
-    bool isReady() const { return !stoppingSince_ && leader_.view().routingTable != nullptr; }
-    bool isStopping() const override { return stoppingSince_.has_value(); }
+    bool isReady() const { return !shutdown_ && leader_.view().routingTable != nullptr; }
+    bool isStopping() const override { return shutdown_.has_value(); }
     bool mayRelay() const override
     {
         const auto relayed =
@@ -91,15 +88,19 @@
 
     void drain(std::function<void()> finished)
     {
-        if (stoppingSince_) {
+        if (shutdown_) {
             return;
         }
-        stoppingSince_ = timers_.now();
+        shutdown_ = makeShutdownSchedule(timers_.now(), options_.gracePeriod, LoadBalancerDelay);
         finished_ = std::move(finished);
         logShutdownStart();
-        stopAcceptingTimer_ = timers_.runAfter(StopAcceptingDelay, [this] { listener_.reset(); });
-        shutdownTimer_ =
-            timers_.runAfter(options_.gracePeriod - ShutdownReserve, [this] { finishShutdown(); });
+        forEachExchange(&Exchange::shortenWait);
+        PlannedStop::Steps steps;
+        steps.stopAccepting = [this] { listener_.reset(); };
+        steps.endWaiting = [this] { forEachExchange(&Exchange::endIfWaiting); };
+        steps.endAll = [this] { endAllSessions(); };
+        steps.exit = [this] { finishShutdown(); };
+        plannedStop_.emplace(timers_, *shutdown_, std::move(steps));
     }
 
     void removeSession(std::uint64_t id) override
@@ -112,6 +113,35 @@
     }
 
 private:
+    // Calls `method` for each request in progress. The call may end the request and its session.
+    void forEachExchange(void (Exchange::*method)())
+    {
+        std::vector<std::shared_ptr<Exchange>> exchanges;
+        for (const auto &[id, session] : sessions_) {
+            if (auto exchange = session->exchange()) {
+                exchanges.push_back(std::move(exchange));
+            }
+        }
+        for (const auto &exchange : exchanges) {
+            ((*exchange).*method)();
+        }
+    }
+
+    // Gives each request its final response. Connections close once it has been delivered.
+    void endAllSessions()
+    {
+        forEachExchange(&Exchange::endForShutdown);
+        std::vector<std::shared_ptr<CallerSession>> open;
+        for (const auto &[id, session] : sessions_) {
+            if (!session->isClosing()) {
+                open.push_back(session);
+            }
+        }
+        for (const auto &session : open) {
+            session->closeGracefully();
+        }
+    }
+
     void accept(int socket, RequestOrigin origin)
     {
         const std::uint64_t id = ++lastSession_;
@@ -132,7 +162,7 @@
         const Instant now = timers_.now();
         const auto &table = leader_.view().routingTable;
         const routing::CallerLimits limits = table ? table->limits() : routing::CallerLimits {};
-        const bool closeIdle = stoppingSince_ && now - *stoppingSince_ > StopAcceptingDelay;
+        const bool closeIdle = shutdown_ && now > shutdown_->acceptUntil;
         std::vector<std::shared_ptr<CallerSession>> expired;
         std::vector<std::shared_ptr<CallerSession>> idle;
         for (const auto &[id, session] : sessions_) {
@@ -188,7 +218,7 @@
     {
         std::map<Exchange::Stage, std::size_t> counts;
         for (const auto &[id, session] : sessions_) {
-            if (const Exchange *exchange = session->exchange()) {
+            if (const auto exchange = session->exchange()) {
                 ++counts[exchange->stage()];
             }
         }
@@ -201,11 +231,6 @@
 
     void finishShutdown()
     {
-        for (const auto &[id, session] : sessions_) {
-            if (const Exchange *exchange = session->exchange()) {
-                exchange->recordEndedByShutdown(timers_.now() - *stoppingSince_);
-            }
-        }
         const auto finished = std::move(finished_);
         finished_ = nullptr;
         if (finished) {
@@ -230,12 +255,11 @@
     std::unique_ptr<http::Listener> relayListener_;
     std::uint64_t lastSession_ = 0;
     std::map<std::uint64_t, std::shared_ptr<CallerSession>> sessions_;
-    std::optional<Instant> stoppingSince_;
+    std::optional<ShutdownSchedule> shutdown_;
+    std::optional<PlannedStop> plannedStop_;
     Instant gaugesAt_;
     std::function<void()> finished_;
     TimerHandle sweep_;
-    TimerHandle stopAcceptingTimer_;
-    TimerHandle shutdownTimer_;
 };
 
 Gateway::Gateway(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) { }
--- a/src/gateway/gateway.h
+++ b/src/gateway/gateway.h
@@ -88,7 +88,8 @@
 
     // True if the gateway has a configuration and is not shutting down.
     bool isReady() const;
-    // Completes the requests in progress. `finished` runs once, at the latest shortly before the
+    // Completes the requests in progress by the schedule of shutdown.h: each of them gets a
+    // response before the process ends. `finished` runs once, at the latest shortly before the
     // grace period ends.
     void drain(std::function<void()> finished);
     void setSeeds(std::vector<peer::Address> seeds);
--- a/src/gateway/internal/callersession.h
+++ b/src/gateway/internal/callersession.h
@@ -47,9 +47,10 @@
         return origin_ == RequestOrigin::OtherVm && hasActiveExchange();
     }
     // Returns the request in progress, or nullptr.
-    const Exchange *exchange() const { return exchange_.get(); }
+    std::shared_ptr<Exchange> exchange() const { return exchange_; }
     bool isReadingMessage() const { return connection_->isReadingMessage(); }
     Instant lastReceived() const { return connection_->lastReceived(); }
+    bool isClosing() const { return connection_->isClosing(); }
     void abort() { connection_->abort(); }
     void closeGracefully() { connection_->closeGracefully(); }
 
--- a/src/gateway/internal/context.h
+++ b/src/gateway/internal/context.h
@@ -2,6 +2,9 @@
 #pragma once
 
 #include "gateway/gateway.h"
+#include "shutdown/shutdown.h"
+
+#include <optional>
 
 namespace daisyhaven::gateway {
 
@@ -22,6 +25,8 @@
     ReachabilityMonitor &reachability;
     RequestRelays &requestRelays;
     routing::WeightedServicePicker &servicePicker;
+    // Set from the signal to stop on.
+    const std::optional<ShutdownSchedule> &shutdown;
 
     Instant now() const { return timers.now(); }
 };
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -61,8 +61,13 @@
         Done
     };
     Stage stage() const { return stage_; }
-    // Logs and counts that the end of the process ends the request, `sinceSignal` after the signal.
-    void recordEndedByShutdown(Duration sinceSignal) const;
+    // Asks for the slot again, so that the leader refuses at once what gets none before this VM,
+    // which was told to stop, sends no more requests.
+    void shortenWait();
+    // Ends the request at a step of a planned stop, unless a server works on it.
+    void endIfWaiting();
+    // Ends the request at a step of a planned stop.
+    void endForShutdown();
 
 private:
     // Body size that is read before a slot is requested, and that is retained for a retry.
@@ -107,6 +112,12 @@
     ExecutionStatus executionStatus() const;
     bool mayHaveRun() const { return executionStatus() == ExecutionStatus::MayHaveExecuted; }
     bool mayRetry() const;
+    // Returns until when the request may be sent to a server or a relay.
+    Instant sendUntil() const;
+    // Ends the request now, with the best response that it can have: that of an earlier attempt, a
+    // refusal if it has not run, or else a failure.
+    void endEarly(ResultCode cause, const std::string &detail);
+    void recordEndedByShutdown() const;
     void forwardResponse(const http::ResponseHead &head, const std::string &body);
     void onStreamStart(const http::ResponseHead &head, const std::string &body);
     void onStreamEnd();
@@ -153,6 +164,7 @@
     bool bodyForwarded_ = false; // the current attempt has the whole body
 
     std::uint64_t slotRequestId_ = 0;
+    bool slotIsForRetry_ = false;
     std::shared_ptr<BackendCall> call_;
     // The leader knows that the slot of call_ is free, although the call goes on.
     bool slotReleased_ = false;
--- a/src/gateway/slotclient.cpp
+++ b/src/gateway/slotclient.cpp
@@ -191,6 +191,11 @@
     message.set_retry(slotRequest.isRetry);
     message.set_has_token(slotRequest.hasRateToken);
     message.set_deadline_ms(millisecondsUntil(now, slotRequest.deadline));
+    if (slotRequest.latestStart < slotRequest.deadline) {
+        // 0 would state that there is no bound.
+        message.set_latest_start_ms(
+            std::max<std::uint32_t>(millisecondsUntil(now, slotRequest.latestStart), 1));
+    }
     message.set_target_ms(millisecondsUntil(now, slotRequest.targetTime));
     message.set_availability_zone(slotRequest.zone);
     message.set_fingerprint(slotRequest.fingerprint);
--- a/src/result/result.cpp
+++ b/src/result/result.cpp
@@ -76,6 +76,8 @@
           "An earlier send of this Idempotency-Key started; its outcome is not known." },
         { Code::CallerGone, "CallerGone", 499, MayHaveRun,
           "The caller closed its connection; recorded in traces only." },
+        { Code::VmStopped, "VmStopped", 504, MayHaveRun,
+          "The VM stopped while the backend server was working." },
         { Code::SettingsInvalid, "SettingsInvalid", 500, NotRun, "A settings file is invalid." },
         { Code::DeclarationInvalid, "DeclarationInvalid", 500, NotRun,
           "A declaration file is invalid." },
--- a/src/result/result.h
+++ b/src/result/result.h
@@ -62,6 +62,7 @@
     BackendMalformed = 307,
     OutcomeUnknown = 308,
     CallerGone = 309,
+    VmStopped = 310,
     // 4xx: settings, declarations and operator commands.
     SettingsInvalid = 401,
     DeclarationInvalid = 402,
--- a/src/scheduler/scheduler.h
+++ b/src/scheduler/scheduler.h
@@ -148,6 +148,8 @@
     // An earlier attempt of this request took a token of the team's rate.
     bool hasRateToken = false;
     Instant deadline;
+    // The VM uses no slot that is granted later, whatever the deadline is.
+    Instant latestStart = Instant::max();
     // A response by then has its full value; a later one is still useful until the deadline.
     Instant targetTime;
     std::string zone;
--- a/src/scheduler/waitingrequests.cpp
+++ b/src/scheduler/waitingrequests.cpp
@@ -48,7 +48,8 @@
 
 Instant Scheduler::latestStartTime(const SlotRequest &request) const
 {
-    return request.deadline - toDuration(typicalLatency(request.route) * ServiceTimeReserve);
+    const Duration serviceTime = toDuration(typicalLatency(request.route) * ServiceTimeReserve);
+    return std::min(request.deadline - serviceTime, request.latestStart);
 }
 
 // Number of slots of typical speed that requests more urgent than `priority` leave.
--- a/src/testing/gatewayfleet.h
+++ b/src/testing/gatewayfleet.h
@@ -10,6 +10,9 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <limits>
+#include <list>
+
 namespace daisyhaven::gateway {
 
 constexpr const char *RequestId = "request-1";
@@ -50,7 +53,8 @@
     };
 }
 
-// Plays the leader for one VM: names its servers and its relays, and grants each slot request.
+// Plays the leader for one VM: names its servers and its relays, and grants the slot requests in
+// the order of arrival.
 class LeaderStandIn
 {
 public:
@@ -71,18 +75,21 @@
             });
         server_.registerTypedHandler<wire::SlotQuestion, wire::SlotAnswer>(
             peer::Method::AcquireSlot, peer::Role::Vm,
-            [this](const peer::Caller &, const wire::SlotQuestion &, auto respond) {
-                wire::SlotAnswer answer;
-                answer.set_server("s0");
-                answer.set_address(servers_.front().toString());
-                answer.set_slot(++granted_);
-                answer.set_epoch(1);
-                respond(answer);
+            [this](const peer::Caller &, const wire::SlotQuestion &question, auto respond) {
+                waiting_.emplace_back(question.number(), respond);
+                grantFreeSlots();
             });
         server_.registerTypedHandler<wire::SlotRelease, wire::Empty>(
             peer::Method::ReleaseSlot, peer::Role::Vm,
-            [](const peer::Caller &, const wire::SlotRelease &, auto respond) {
+            [this](const peer::Caller &, const wire::SlotRelease &release, auto respond) {
                 respond(wire::Empty {});
+                if (release.slot() != 0) {
+                    --slotsInUse_;
+                } else {
+                    waiting_.remove_if(
+                        [&](const auto &request) { return request.first == release.number(); });
+                }
+                grantFreeSlots();
             });
         const auto listening = attempt([&]() -> Result<bool> {
             BOOST_LEAF_CHECK(server_.listen(address));
@@ -91,12 +98,36 @@
         EXPECT_TRUE(std::holds_alternative<bool>(listening));
     }
 
+    // Sets how many slots may be in use at a time; none is taken back.
+    void setSlots(std::size_t slots)
+    {
+        slots_ = slots;
+        grantFreeSlots();
+    }
+
     void addRequestRelay(const peer::Address &address, const std::string &zone)
     {
         relays_.push_back({ address.toString(), zone });
     }
 
 private:
+    using SlotResponder = std::function<void(std::variant<wire::SlotAnswer, Failure>)>;
+
+    void grantFreeSlots()
+    {
+        while (slotsInUse_ < slots_ && !waiting_.empty()) {
+            ++slotsInUse_;
+            const SlotResponder respond = waiting_.front().second;
+            waiting_.pop_front();
+            wire::SlotAnswer answer;
+            answer.set_server("s0");
+            answer.set_address(servers_.front().toString());
+            answer.set_slot(++granted_);
+            answer.set_epoch(1);
+            respond(answer);
+        }
+    }
+
     wire::FleetViewReply makeView() const
     {
         wire::FleetViewReply reply;
@@ -128,6 +159,10 @@
     peer::Server server_;
     std::vector<TimerHandle> delays_;
     std::uint64_t granted_ = 0;
+    std::size_t slots_ = std::numeric_limits<std::size_t>::max();
+    std::size_t slotsInUse_ = 0;
+    // Slot requests without a slot, by number.
+    std::list<std::pair<std::uint64_t, SlotResponder>> waiting_;
 };
 
 class GatewayFleet : public ::testing::Test
@@ -160,8 +195,11 @@
                                       [this](const http::ApiRequest &request,
                                              const http::ApiServer::ResponseCallback &respond) {
                                           ++runs_;
+                                          ++runsByPath_[request.path];
                                           receivedBytes_ = request.body.size();
-                                          if (backendResponds_) {
+                                          if (serveRequest_) {
+                                              serveRequest_(request, respond);
+                                          } else if (backendResponds_) {
                                               respond(makeBackendResponse());
                                           } else {
                                               unanswered_.push_back(respond);
@@ -207,6 +245,7 @@
         options.headers = { "request-id", "deadline-ms", "expected-server", "team", "not-executed",
                             "leaving",    "limit" };
         options.documentParser = &parseTestDocument;
+        options.gracePeriod = gracePeriod_;
         options.relayAddress = localAddress(peers);
         options.requestRelayAddress = localAddress(relay);
         const auto created = attempt([&]() -> Result<bool> {
@@ -288,7 +327,11 @@
     std::unique_ptr<http::ApiServer> backend_;
     std::vector<http::ApiServer::ResponseCallback> unanswered_;
     bool backendResponds_ = true;
+    // Replaces the response of the backend server, if set.
+    http::ApiServer::Handler serveRequest_;
+    Duration gracePeriod_ = Seconds(6);
     int runs_ = 0;
+    std::map<std::string, int> runsByPath_;
     std::size_t receivedBytes_ = 0;
     Vm relay_;
     Vm vm_;
