A stopping VM refuses requests that come too late to be answered

Cause: a response whose head was sent before the signal doesn't say that its connection closes, and requests on it were taken at any time.

Change: from sendUntil on a request that arrives is refused at once (503 Draining) and its connection closes. Nothing that was sent to a server before sendUntil is concerned.

--- a/src/gateway/callersession.cpp
+++ b/src/gateway/callersession.cpp
@@ -57,6 +57,10 @@
         exchange->refuseRelayed("this VM is stopping or relays too many requests", finished);
         return;
     }
+    if (!owner_.mayStartRequests()) {
+        exchange->refuseAtShutdown(finished);
+        return;
+    }
     exchange->start(finished);
 }
 
--- a/src/gateway/exchangecompletion.cpp
+++ b/src/gateway/exchangecompletion.cpp
@@ -75,6 +75,12 @@
     return true;
 }
 
+void Exchange::refuseAtShutdown(std::function<void()> finished)
+{
+    finished_ = std::move(finished);
+    endForShutdown();
+}
+
 void Exchange::endIfWaiting()
 {
     if (stage_ != Stage::CallingBackend) {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -76,6 +76,10 @@
 
     bool isReady() const { return !shutdown_ && leader_.view().routingTable != nullptr; }
     bool isStopping() const override { return shutdown_.has_value(); }
+    bool mayStartRequests() const override
+    {
+        return !shutdown_ || timers_.now() < shutdown_->sendUntil;
+    }
     bool mayRelay() const override
     {
         const auto relayed =
--- a/src/gateway/internal/callersession.h
+++ b/src/gateway/internal/callersession.h
@@ -21,6 +21,8 @@
         virtual const GatewayContext &context() const = 0;
         // Returns true while responses end their connections.
         virtual bool isStopping() const = 0;
+        // Returns false once this VM, which stops, sends no more requests to servers.
+        virtual bool mayStartRequests() const = 0;
         // Returns whether this VM takes another request of an entry VM.
         virtual bool mayRelay() const = 0;
         // Destroys the session, outside its own callbacks.
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -36,6 +36,8 @@
     void start(std::function<void()> finished);
     // Sends an error response to a message that could not be parsed.
     void rejectUnparsed(const Failure &failure, std::function<void()> finished);
+    // Refuses a request that arrives when this VM, which stops, sends no more requests to servers.
+    void refuseAtShutdown(std::function<void()> finished);
     // Tells the VM that sent the request to use another relay.
     void refuseRelayed(const std::string &reason, std::function<void()> finished);
     // Refuses a request that no server may have executed, to free its memory. Returns false if
--- a/src/gateway/plannedstop_test.cpp
+++ b/src/gateway/plannedstop_test.cpp
@@ -231,5 +231,39 @@
 
 INSTANTIATE_TEST_SUITE_P(Seeds, DrawnPlannedStop, ::testing::Range(1U, 7U));
 
+class LateRequest : public PlannedStopFleet
+{
+};
+
+// Guards against a request that runs and ends with the process: it came on a connection whose
+// earlier response began before the signal and so did not close it.
+TEST_F(LateRequest, OnAKeptConnectionIsRefused)
+{
+    startSendingVm(std::vector<peer::Address>(4, localAddress(Backend)), false);
+    backendResponds_ = false;
+    Caller &caller = sendRequest("/write/1");
+    ASSERT_TRUE(runUntil([&] { return unanswered_.size() == 1; }));
+    // The response begins before the signal and ends after the last request was sent to a server.
+    http::ApiResponse large = makeBackendResponse();
+    large.body.assign(8UL * 1024 * 1024, 'x');
+    caller.connection->pauseReading();
+    unanswered_.front()(large);
+    runFor(Milliseconds(200));
+    stop(vm_);
+    runFor(schedule_.sendUntil - timers_.now() + Milliseconds(50));
+    ASSERT_FALSE(caller.complete);
+    caller.connection->resumeReading();
+    ASSERT_TRUE(runUntil([&] { return caller.complete; }, Milliseconds(400)));
+    EXPECT_EQ(caller.status, 200);
+    caller.complete = false;
+    caller.connection->sendHead("POST", "/write/2", requestHeaders(), http::Framing::Length, 4);
+    caller.connection->sendBody("late");
+    caller.connection->endRequest();
+    ASSERT_TRUE(runUntil([&] { return exited_ || caller.complete; }));
+    EXPECT_TRUE(caller.complete);
+    EXPECT_EQ(caller.status, 503);
+    EXPECT_EQ(runs_, 1);
+}
+
 } // namespace
 } // namespace daisyhaven::gateway
