Entry VM of the own interface: a planned stop ends each request by the schedule

Seen by callers: with the servers full, a VM that was told to stop went on until the last deadline, so that whoever kills it after its grace period cuts off requests that no server has run.

Test: callers graceful_while_full, 40 requests, servers of 1.2 s, grace period 3 s.

--- a/scripts/localfleet.py
+++ b/scripts/localfleet.py
@@ -90,6 +90,8 @@
             lines.append(f'data_folder = "data/{vm["id"]}"')
         else:
             lines.append(f'trace_file = "{vm["id"]}.traces"')
+        if "termination_grace_ms" in vm:
+            lines.append(f'termination_grace_ms = {vm["termination_grace_ms"]}')
         lines += ["", "[listen]", f'peer = "{vm["peer"]}"']
         for name in ("caller", "backend", "platform"):
             if name in vm:
--- a/src/entry/entry.cpp
+++ b/src/entry/entry.cpp
@@ -37,8 +37,8 @@
           clients_(eventBase_.get(), timers_, credentials(settings)),
           fleet_(timers_, clients_, server_, settings,
                  static_cast<std::uint64_t>(wallClockMicroseconds()), metrics_),
-          context_ { eventBase_.get(), timers_,  server_, clients_,
-                     fleet_,           metrics_, traces_, settings_ },
+          context_ { eventBase_.get(), timers_, server_,   clients_,    fleet_,
+                     metrics_,         traces_, settings_, std::nullopt },
           dispatchTask_(context_), dispatchClient_(context_), quota_(context_), ledger_(context_),
           connectionPool_(context_), announcements_(context_),
           proxy_({ context_, dispatchClient_, quota_, ledger_, connectionPool_ })
@@ -104,7 +104,7 @@
 
     std::string unhealthyReason() const
     {
-        if (shuttingDown_) {
+        if (context_.shutdown) {
             return "stopping";
         }
         const auto &configuration = fleet_.configuration();
@@ -149,25 +149,31 @@
     // active ones.
     void beginShutdown()
     {
-        if (shuttingDown_) {
+        if (context_.shutdown) {
             return;
         }
-        shuttingDown_ = true;
+        context_.shutdown = makeShutdownSchedule(timers_.now(), settings_.terminationGracePeriod,
+                                                 settings_.drainGracePeriod);
         updateHealth();
         logEvent(Event::ProcessStopping, { { "requests", proxy_.activeRequestCount() } });
         fleet_.drain();
-        shutdownTimer_ = timers_.runAfter(settings_.drainGracePeriod, [this] {
+        PlannedStop::Steps steps;
+        steps.stopAccepting = [this] {
             proxy_.startDrain([this] { finishShutdown(); });
             drainCheckTimer_ =
                 timers_.runEvery(DrainCheckPeriod, [this] { proxy_.finishDrainIfIdle(); });
-        });
+        };
+        steps.endWaiting = [this] { proxy_.endWaitingRequests(); };
+        steps.endAll = [this] { proxy_.endAllRequests(); };
+        steps.exit = [this] { event_base_loopbreak(eventBase_.get()); };
+        plannedStop_.emplace(timers_, *context_.shutdown, std::move(steps));
     }
 
     void finishShutdown()
     {
         // The delay lets pending outcome reports reach the dispatchers and the ledger.
-        shutdownTimer_ = timers_.runAfter(ShutdownFlushDelay,
-                                          [this] { event_base_loopbreak(eventBase_.get()); });
+        flushTimer_ = timers_.runAfter(ShutdownFlushDelay,
+                                       [this] { event_base_loopbreak(eventBase_.get()); });
     }
 
     settings::VmSettings settings_;
@@ -190,10 +196,10 @@
     std::unique_ptr<EndpointServer> backendEndpoints_;
     std::vector<std::unique_ptr<event, EventDeleter>> signals_;
     bool healthy_ = false;
-    bool shuttingDown_ = false;
+    std::optional<PlannedStop> plannedStop_;
     TimerHandle healthTimer_;
-    TimerHandle shutdownTimer_;
     TimerHandle drainCheckTimer_;
+    TimerHandle flushTimer_;
 };
 
 } // namespace
--- a/src/entry/internal/context.h
+++ b/src/entry/internal/context.h
@@ -5,8 +5,11 @@
 #include "observe/observe.h"
 #include "peer/peer.h"
 #include "settings/settings.h"
+#include "shutdown/shutdown.h"
 #include "timer/timer.h"
 
+#include <optional>
+
 struct event_base;
 
 namespace daisyhaven::entry {
@@ -21,6 +24,8 @@
     Metrics &metrics;
     TraceWriter &traces;
     const settings::VmSettings &settings;
+    // Set from the signal to stop on.
+    std::optional<ShutdownSchedule> shutdown = std::nullopt;
 };
 
 } // namespace daisyhaven::entry
--- a/src/entry/internal/exchange.cpp
+++ b/src/entry/internal/exchange.cpp
@@ -111,6 +111,12 @@
     }
 }
 
+Instant Exchange::sendUntil() const
+{
+    const auto &shutdown = dependencies_.context.shutdown;
+    return shutdown ? std::min(admission_.deadline, shutdown->sendUntil) : admission_.deadline;
+}
+
 void Exchange::rejectMalformed(const Failure &failure, std::function<void()> finished)
 {
     finishedCallback_ = std::move(finished);
@@ -204,7 +210,7 @@
     }
     startSpan("quota");
     const std::weak_ptr<Exchange> weak = weak_from_this();
-    tokenRequestId_ = dependencies_.quota.acquireToken(admission_.team->name, admission_.deadline,
+    tokenRequestId_ = dependencies_.quota.acquireToken(admission_.team->name, sendUntil(),
                                                        [weak](const TokenResult &result) {
                                                            if (const auto self = weak.lock()) {
                                                                self->onTokenResult(result);
@@ -236,13 +242,13 @@
     stage_ = Stage::RecordingStart;
     startSpan("ledger");
     const std::weak_ptr<Exchange> weak = weak_from_this();
-    ledgerAttemptId_ = dependencies_.ledger.recordStart(
-        ledgerKey_, toHex(fingerprint_), admission_.deadline - now(), admission_.deadline,
-        [weak](const LedgerResult &result) {
-            if (const auto self = weak.lock()) {
-                self->onLedgerResult(result);
-            }
-        });
+    ledgerAttemptId_ = dependencies_.ledger.recordStart(ledgerKey_, toHex(fingerprint_),
+                                                        admission_.deadline - now(), sendUntil(),
+                                                        [weak](const LedgerResult &result) {
+                                                            if (const auto self = weak.lock()) {
+                                                                self->onLedgerResult(result);
+                                                            }
+                                                        });
 }
 
 void Exchange::onLedgerResult(const LedgerResult &result)
@@ -307,7 +313,7 @@
     const std::string route = admission_.route.method + admission_.route.path;
     requirements.routeHash = XXH3_64bits(route.data(), route.size());
     requirements.fingerprint = fingerprint_;
-    requirements.deadline = admission_.deadline;
+    requirements.deadline = sendUntil();
     requirements.isRetry = retry;
     requirements.excludedServers = attemptedServers_;
     const std::weak_ptr<Exchange> weak = weak_from_this();
@@ -378,7 +384,7 @@
     startSpan("quota");
     const std::weak_ptr<Exchange> weak = weak_from_this();
     DispatchClient &dispatch = dependencies_.dispatch;
-    const Instant waitUntil = std::min<Instant>(admission_.deadline, now() + MaxTokenRefreshWait);
+    const Instant waitUntil = std::min<Instant>(sendUntil(), now() + MaxTokenRefreshWait);
     tokenRequestId_ = dependencies_.quota.acquireToken(
         admission_.team->name, waitUntil, [weak, slot, &dispatch](const TokenResult &result) {
             const auto self = weak.lock();
@@ -643,7 +649,7 @@
     // A body that was streamed without buffering cannot be sent again.
     const bool bodyAvailable = bodyBuffered_ && bodyEnded_;
     return retrySafe && bodyAvailable && !responseStarted_ && attemptCount_ < MaxAttempts
-        && now() < admission_.deadline;
+        && now() < sendUntil();
 }
 
 void Exchange::retry(ResultCode code, bool mayHaveRun)
@@ -666,37 +672,48 @@
 }
 
 void Exchange::onDeadline()
+{
+    endEarly(
+        { ResultCode::DeadlineUnreachable, ResultCode::BackendTimeout, health::Outcome::TimedOut });
+}
+
+// Cancels the requests for a slot and for a token that are under way.
+void Exchange::cancelWaits()
+{
+    if (slotRequestId_ != 0) {
+        dependencies_.dispatch.cancel(slotRequestId_);
+    }
+    if (stage_ == Stage::AcquiringToken && tokenRequestId_ != 0) {
+        dependencies_.quota.cancel(admission_.team->name, tokenRequestId_);
+    }
+}
+
+void Exchange::endEarly(const EarlyEnd &end)
 {
     if (stage_ == Stage::Done) {
         return;
     }
     if (stage_ != Stage::Forwarding) {
-        if (slotRequestId_ != 0) {
-            dependencies_.dispatch.cancel(slotRequestId_);
-        }
-        if (stage_ == Stage::AcquiringToken && tokenRequestId_ != 0) {
-            dependencies_.quota.cancel(admission_.team->name, tokenRequestId_);
-        }
+        cancelWaits();
         const bool useEarlierFailure = mayHaveRun_ && lastFailure_;
-        reject(useEarlierFailure ? lastFailure_->code : ResultCode::DeadlineUnreachable, "");
+        reject(useEarlierFailure ? lastFailure_->code : end.ifNotRun, "");
         return;
     }
     const bool sent = attempt_->mayHaveSent();
     const Duration waited = attempt_->responseLatency();
     // A wait for the rest of the caller's body is no evidence against the backend server.
-    const bool serverTimedOut = sent && bodyEnded_;
+    const bool serverHadAll = sent && bodyEnded_;
     attempt_->cancel();
     endSpan(true);
-    dependencies_.dispatch.release(
-        attempt_->slot(), serverTimedOut ? health::Outcome::TimedOut : health::Outcome::Cancelled,
-        waited, [] {});
+    dependencies_.dispatch.release(attempt_->slot(),
+                                   serverHadAll ? end.attemptOutcome : health::Outcome::Cancelled,
+                                   waited, [] {});
     if (sent) {
         mayHaveRun_ = true;
         ledgerState_ = ledger::RecordState::OutcomeUnknown;
     }
-    AttemptFailure failure { health::Outcome::TimedOut,
-                             sent ? ResultCode::BackendTimeout : ResultCode::DeadlineUnreachable,
-                             sent, attempt_->slot().address, false };
+    const AttemptFailure failure { end.attemptOutcome, sent ? end.ifMayHaveRun : end.ifNotRun, sent,
+                                   attempt_->slot().address, false };
     if (responseStarted_) {
         retryOrFail(failure);
         return;
@@ -721,12 +738,7 @@
         return;
     }
     resultCode_ = ResultCode::CallerGone;
-    if (slotRequestId_ != 0) {
-        dependencies_.dispatch.cancel(slotRequestId_);
-    }
-    if (stage_ == Stage::AcquiringToken && tokenRequestId_ != 0) {
-        dependencies_.quota.cancel(admission_.team->name, tokenRequestId_);
-    }
+    cancelWaits();
     if (stage_ == Stage::Forwarding) {
         if (attempt_->mayHaveSent()) {
             ledgerState_ = ledger::RecordState::OutcomeUnknown;
--- a/src/entry/internal/exchange.h
+++ b/src/entry/internal/exchange.h
@@ -40,6 +40,10 @@
     // Called when the sink accepts more response data.
     void onSinkDrained();
     bool hasResponse() const { return responded_; }
+    // Ends the request at a step of a planned stop, unless a backend server works on it.
+    void endIfWaiting();
+    // Ends the request at a step of a planned stop.
+    void endForShutdown();
 
 private:
     enum class Stage : std::uint8_t {
@@ -57,6 +61,15 @@
         std::int64_t startedAt = 0;
     };
 
+    // Why a request ends before its response, as its caller and its dispatcher are told.
+    struct EarlyEnd
+    {
+        ResultCode ifNotRun;
+        ResultCode ifMayHaveRun;
+        // Outcome of the attempt, if the backend server has the whole request.
+        health::Outcome attemptOutcome;
+    };
+
     Instant now() const { return dependencies_.context.timers.now(); }
     void admitOrWait();
     bool isBodyPrefixReady() const;
@@ -82,6 +95,11 @@
     void retry(ResultCode code, bool mayHaveRun);
     void releaseSlot(health::Outcome outcome, std::function<void()> done);
     void onDeadline();
+    // Returns until when the request may be sent to a backend server.
+    Instant sendUntil() const;
+    void cancelWaits();
+    const char *stageName() const;
+    void endEarly(const EarlyEnd &end);
     void reject(ResultCode code, const std::string &detail);
     // Rejects the request with `cause`, or with BackendFailed if `cause` denies that it ran
     // although it may have.
--- a/src/entry/internal/exchangecompletion.cpp
+++ b/src/entry/internal/exchangecompletion.cpp
@@ -60,6 +60,51 @@
     finish();
 }
 
+void Exchange::endIfWaiting()
+{
+    if (stage_ != Stage::Forwarding) {
+        endForShutdown();
+    }
+}
+
+void Exchange::endForShutdown()
+{
+    if (stage_ == Stage::Done) {
+        return;
+    }
+    const Instant signalledAt = dependencies_.context.shutdown->signalledAt;
+    logEvent(
+        Event::RequestEndedByShutdown,
+        { { "request", requestId_ },
+          { "stage", stageName() },
+          { "mayHaveRun", mayHaveRun_ || (attempt_ && attempt_->mayHaveSent()) ? "yes" : "no" },
+          { "responseStarted", responseStarted_ ? "yes" : "no" },
+          { "ageMs", (now() - startedAt_).count() / 1000 },
+          { "sinceSignalMs", (now() - signalledAt).count() / 1000 } });
+    dependencies_.context.metrics.addToCounter("daisyhaven_requests_ended_by_shutdown_total",
+                                               { { "stage", stageName() } });
+    endEarly({ ResultCode::Draining, ResultCode::VmStopped, health::Outcome::Cancelled });
+}
+
+const char *Exchange::stageName() const
+{
+    switch (stage_) {
+    case Stage::ReadingBody:
+        return "reading-body";
+    case Stage::AcquiringToken:
+        return "acquiring-token";
+    case Stage::RecordingStart:
+        return "recording-start";
+    case Stage::AcquiringSlot:
+        return "acquiring-slot";
+    case Stage::Forwarding:
+        return "forwarding";
+    case Stage::Done:
+        return "done";
+    }
+    return "unknown";
+}
+
 void Exchange::recordLedgerFinish()
 {
     if (!ledgerStarted_) {
--- a/src/entry/internal/proxy.cpp
+++ b/src/entry/internal/proxy.cpp
@@ -42,6 +42,11 @@
         return exchange_ != nullptr || callerDisconnected_ || connection_->hasPendingOutput();
     }
 
+    // Returns the request in progress, or nullptr.
+    std::shared_ptr<Exchange> exchange() const { return exchange_; }
+    bool isClosing() const { return connection_->isClosing(); }
+    void closeGracefully() { connection_->closeGracefully(); }
+
     void sendHead(int status, const http::Headers &headers, http::Framing framing,
                   std::uint64_t length) override
     {
@@ -161,6 +166,36 @@
     finishDrainIfIdle();
 }
 
+// The end of a request may remove its session, so the sessions are copied.
+std::vector<std::shared_ptr<CallerSession>> Proxy::openSessions() const
+{
+    std::vector<std::shared_ptr<CallerSession>> open;
+    for (const auto &[id, session] : sessions_) {
+        open.push_back(session);
+    }
+    return open;
+}
+
+void Proxy::endWaitingRequests()
+{
+    for (const auto &session : openSessions()) {
+        if (const auto exchange = session->exchange()) {
+            exchange->endIfWaiting();
+        }
+    }
+}
+
+void Proxy::endAllRequests()
+{
+    for (const auto &session : openSessions()) {
+        if (const auto exchange = session->exchange()) {
+            exchange->endForShutdown();
+        } else if (!session->isClosing()) {
+            session->closeGracefully();
+        }
+    }
+}
+
 std::size_t Proxy::activeRequestCount() const
 {
     std::size_t count = 0;
--- a/src/entry/internal/proxy.h
+++ b/src/entry/internal/proxy.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <vector>
 
 namespace daisyhaven::entry {
 
@@ -39,6 +40,10 @@
     // Rejects new requests from now on. `finished` runs once all active requests are complete.
     void startDrain(std::function<void()> finished);
     bool isDraining() const { return draining_; }
+    // Ends the requests that no backend server works on.
+    void endWaitingRequests();
+    // Ends all requests. Connections close once their callers have the responses.
+    void endAllRequests();
     std::size_t activeRequestCount() const;
     // Runs the drain callback if a drain is in progress and no request is active.
     void finishDrainIfIdle();
@@ -47,6 +52,7 @@
     friend class CallerSession;
 
     void accept(int socket);
+    std::vector<std::shared_ptr<CallerSession>> openSessions() const;
     void removeSession(std::uint64_t sessionId);
 
     ProxyDependencies dependencies_;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -142,6 +142,8 @@
     settings.logFile = resolvePath(path, root.optionalString("log_file", ""));
     settings.traceFile = resolvePath(path, root.optionalString("trace_file", ""));
     settings.drainGracePeriod = readMs(root, "drain_grace_ms", settings.drainGracePeriod);
+    settings.terminationGracePeriod =
+        readMs(root, "termination_grace_ms", settings.terminationGracePeriod);
     if (role == VmRole::Control) {
         settings.dataFolder = resolvePath(path, root.requiredString("data_folder"));
     }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -84,6 +84,8 @@
     // After SIGTERM, the VM accepts requests for this long while its health check fails, so that
     // the platform's load balancer stops sending to it.
     Duration drainGracePeriod = Milliseconds(1000);
+    // Time between SIGTERM and the kill of the process.
+    Duration terminationGracePeriod = Seconds(30);
     // If empty, logs go to standard error only.
     std::string logFile;
     // If empty, no traces are written.
--- a/tests/callers/callers.py
+++ b/tests/callers/callers.py
@@ -44,6 +44,10 @@
 ]
 
 
+# Time between SIGTERM and the kill of the VM that stops while the servers are full.
+STOP_GRACE_S = 3
+
+
 def raw(address, data, seconds=3):
     """Sends bytes and returns all that comes back until the other side closes or time is over."""
     host, port = address.split(":")
@@ -326,6 +330,36 @@
         print(f"graceful stop after {time.time() - at:.1f} s, {len(statuses)} answers", flush=True)
         self.behave("order-desk")
 
+    def graceful_while_full(self):
+        """Guards against a stop that waits without bound for requests that wait for slots."""
+        vm = self.fleet.entries[1]
+        answers = []
+
+        def send(number):
+            headers = {"Authorization": f"Bearer {self.key}", "X-Deadline-Ms": "20000"}
+            try:
+                answers.append(call(vm["caller"], "GET", f"/status/{number}", headers=headers, timeout=25)[0])
+            except OSError:
+                answers.append(0)
+
+        self.behave("order-desk", latency_ms=1200)
+        threads = [threading.Thread(target=send, args=(i,)) for i in range(40)]
+        for thread in threads:
+            thread.start()
+        time.sleep(0.3)
+        at = time.time()
+        self.fleet.processes[vm["id"]].send_signal(signal.SIGTERM)
+        code = self.fleet.processes[vm["id"]].wait(timeout=30)
+        seconds = time.time() - at
+        for thread in threads:
+            thread.join()
+        counts = {status: answers.count(status) for status in sorted(set(answers))}
+        self.expect(code == 0, f"SIGTERM ended with {code}")
+        self.expect(seconds < STOP_GRACE_S, f"the stop took {seconds:.1f} of {STOP_GRACE_S} s")
+        self.expect(set(counts) <= {200, 503, 504} and 200 in counts and 503 in counts, f"a request was cut: {counts}")
+        print(f"stop while full after {seconds:.1f} s, answers {counts}", flush=True)
+        self.behave("order-desk")
+
     def latency(self):
         """Added latency, direct and through a VM of the server's own zone, side by side."""
         backend = self.fleet.backends[0]
@@ -373,7 +407,7 @@
         return 1 if self.failures else 0
 
     def parts(self):
-        return (self.bad_requests, self.framing, self.cut_body, self.idempotency, self.large_upload, self.announcements, self.strangers, self.bad_operators, self.deadline_and_cancel, self.broken_answers, self.keys_stay_secret, self.graceful)
+        return (self.bad_requests, self.framing, self.cut_body, self.idempotency, self.large_upload, self.announcements, self.strangers, self.bad_operators, self.deadline_and_cancel, self.broken_answers, self.keys_stay_secret, self.graceful, self.graceful_while_full)
 
 
 def main():
@@ -384,6 +418,7 @@
     parser.add_argument("--known-red", action="store_true", help="run what KNOWN-RED.txt lists")
     options = parser.parse_args()
     fleet = LocalFleet(f"{options.folder}-{os.getpid()}", port=options.port)
+    fleet.entries[1]["termination_grace_ms"] = STOP_GRACE_S * 1000
     try:
         return Checks(fleet).run(options.latency, options.known_red)
     finally:
