Control VMs answer the calls in hand before they stop

Seen by callers: a change that waited for its commit, or a response on its way, was cut off with the process of a control VM that got SIGTERM.

Cause: as for entry VMs, the end of the process had no rule for what it held: the event loop ended in the same turn as leave(), in the own interface in the turn of the signal.

Own interface: OperationOutcomeUnknown with the id to repeat the write.

--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -15,6 +15,8 @@
 
 namespace {
 
+// Lets the last responses reach their operators.
+constexpr Milliseconds ShutdownFlushDelay { 100 };
 constexpr Milliseconds VoterUpdateTimeout { 1000 };
 constexpr Milliseconds VoterUpdateInterval { 300 };
 constexpr Milliseconds ZoneSummaryTimeout { 700 };
@@ -126,7 +128,9 @@
         callbacks.applyEntry = [this](const consensus::Entry &entry) { applyEntry(entry); };
         callbacks.restoreState = [this](const std::string &state) { return state_.restore(state); };
         callbacks.captureState = [this] { return state_.toSnapshot(); };
-        callbacks.onSteppedDown = [this](std::uint64_t) { failPendingWrites(); };
+        callbacks.onSteppedDown = [this](std::uint64_t) {
+            failPendingWrites("the leader changed");
+        };
         callbacks.onFatalError = [this](const Failure &failure) {
             fatalError_ = failure;
             event_base_loopbreak(base_.get());
@@ -144,13 +148,12 @@
         }
     }
 
-    void failPendingWrites()
+    void failPendingWrites(const std::string &cause)
     {
         for (PendingWrite &write : pendingWrites_) {
-            write.respond(
-                Failure { ResultCode::OperationOutcomeUnknown,
-                          "the leader changed before the write completed; retry with --operation "
-                              + write.operationId });
+            write.respond(Failure { ResultCode::OperationOutcomeUnknown,
+                                    cause + " before the write completed; retry with --operation "
+                                        + write.operationId });
         }
         pendingWrites_.clear();
     }
@@ -160,6 +163,10 @@
     void handleWrite(const peer::Caller &caller, const wire::OperatorWrite &message,
                      const WriteRespond &respond)
     {
+        if (exitTimer_.isActive()) {
+            respond(Failure { ResultCode::ControlUnavailable, "this control VM stops" });
+            return;
+        }
         if (!replica_.isLeader()) {
             const auto leader = replica_.leader();
             respond(Failure { ResultCode::NotLeader, leader ? leader->peerAddress : "" });
@@ -486,10 +493,22 @@
         return wire::Empty {};
     }
 
+    // Responds to the operators that wait, and ends the process once the responses are sent.
+    void beginShutdown()
+    {
+        if (exitTimer_.isActive()) {
+            return;
+        }
+        logEvent(Event::ProcessStopping, { { "writes", pendingWrites_.size() } });
+        failPendingWrites("this control VM stops");
+        exitTimer_ =
+            timers_.runAfter(ShutdownFlushDelay, [this] { event_base_loopbreak(base_.get()); });
+    }
+
     void stopOnSignal(int number)
     {
         const auto stop = [](evutil_socket_t, short, void *user) {
-            event_base_loopbreak(static_cast<ControlVm *>(user)->base_.get());
+            static_cast<ControlVm *>(user)->beginShutdown();
         };
         signals_.emplace_back(evsignal_new(base_.get(), number, stop, this));
         event_add(signals_.back().get(), nullptr);
@@ -519,6 +538,8 @@
     std::optional<Failure> fatalError_;
     std::vector<std::unique_ptr<event, EventDeleter>> signals_;
     TimerHandle voterUpdateTimer_;
+    // Runs from the signal to stop on.
+    TimerHandle exitTimer_;
 };
 
 } // namespace
--- a/src/http/apiserver.cpp
+++ b/src/http/apiserver.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <utility>
+#include <vector>
 
 namespace daisyhaven::http {
 
@@ -40,6 +41,20 @@
             std::make_unique<ServerConnection>(base, socket, std::move(callbacks), account_);
     }
 
+    // Sends `unanswered` to the current request, if it has no response yet, and closes the
+    // connection.
+    void drain(const ApiResponse &unanswered)
+    {
+        connection_->closeAfterResponse();
+        if (awaitsResponse_) {
+            ++exchangeId_;
+            sendResponse(unanswered);
+        }
+        if (!connection_->isClosing()) {
+            connection_->closeGracefully();
+        }
+    }
+
 private:
     void beginRequest(RequestHead head)
     {
@@ -79,6 +94,7 @@
     void invokeHandler()
     {
         const std::uint64_t exchangeId = ++exchangeId_;
+        awaitsResponse_ = true;
         const std::weak_ptr<ApiSession> weakSession = weak_from_this();
         const ApiServer::ResponseCallback respond = [weakSession,
                                                      exchangeId](const ApiResponse &response) {
@@ -103,6 +119,7 @@
 
     void sendResponse(const ApiResponse &response)
     {
+        awaitsResponse_ = false;
         Headers headers = response.headers;
         if (!response.body.empty()) {
             headers.add("Content-Type", response.contentType);
@@ -120,6 +137,8 @@
     std::function<void()> closedCallback_;
     ApiRequest request_;
     bool tooLarge_ = false;
+    // The handler has a complete request.
+    bool awaitsResponse_ = false;
     // Incremented at each request and each response. A response for an earlier value is discarded.
     std::uint64_t exchangeId_ = 0;
     std::unique_ptr<ServerConnection> connection_;
@@ -146,7 +165,28 @@
         return {};
     }
 
+    void drain(const ApiResponse &unanswered, std::function<void()> finished)
+    {
+        listener_.reset();
+        drained_ = std::move(finished);
+        std::vector<std::shared_ptr<ApiSession>> open;
+        for (const auto &[id, session] : sessions_) {
+            open.push_back(session);
+        }
+        for (const auto &session : open) {
+            session->drain(unanswered);
+        }
+        reportIfDrained();
+    }
+
 private:
+    void reportIfDrained()
+    {
+        if (drained_ && sessions_.empty()) {
+            timers_.post(std::exchange(drained_, nullptr));
+        }
+    }
+
     void acceptConnection(int socket)
     {
         const std::uint64_t id = ++lastSessionId_;
@@ -157,6 +197,7 @@
                     // Destroys the connection from the event loop, outside its own callbacks.
                     timers_.post([closed = std::move(node.mapped())] {});
                 }
+                reportIfDrained();
             });
         sessions_[id] = session;
         session->open(base_, socket);
@@ -170,11 +211,17 @@
     std::unique_ptr<Listener> listener_;
     std::uint64_t lastSessionId_ = 0;
     std::map<std::uint64_t, std::shared_ptr<ApiSession>> sessions_;
+    std::function<void()> drained_;
 };
 
 ApiServer::ApiServer(std::unique_ptr<Impl> impl) : impl_(std::move(impl)) { }
 ApiServer::~ApiServer() = default;
 
+void ApiServer::drain(const ApiResponse &unanswered, std::function<void()> finished)
+{
+    impl_->drain(unanswered, std::move(finished));
+}
+
 Result<std::unique_ptr<ApiServer>> ApiServer::open(event_base *base, TimerService &timers,
                                                    const peer::Address &address,
                                                    std::size_t maxBodyBytes, Handler handler,
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -291,6 +291,11 @@
     ApiServer &operator=(const ApiServer &) = delete;
     ~ApiServer();
 
+    // Accepts no more connections, sends `unanswered` to each request that has no response yet, and
+    // closes the connections once their responses have been received. `finished` runs once, when no
+    // connection is left. For the end of the process; call it once.
+    void drain(const ApiResponse &unanswered, std::function<void()> finished);
+
     class Impl;
 
 private:
