--- a/src/entry/internal/proxy.cpp
+++ b/src/entry/internal/proxy.cpp
@@ -44,8 +44,7 @@
 
     // Returns the request in progress, or nullptr.
     std::shared_ptr<Exchange> exchange() const { return exchange_; }
-    bool isClosing() const { return connection_->isClosing(); }
-    void closeGracefully() { connection_->closeGracefully(); }
+    void closeForExit() { connection_->closeForExit(); }
 
     void sendHead(int status, const http::Headers &headers, http::Framing framing,
                   std::uint64_t length) override
@@ -190,9 +189,8 @@
     for (const auto &session : openSessions()) {
         if (const auto exchange = session->exchange()) {
             exchange->endForShutdown();
-        } else if (!session->isClosing()) {
-            session->closeGracefully();
         }
+        session->closeForExit();
     }
 }
 
--- a/src/gateway/callersession.cpp
+++ b/src/gateway/callersession.cpp
@@ -1,5 +1,6 @@
 #include "gateway/internal/callersession.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace daisyhaven::gateway {
@@ -34,6 +35,14 @@
         std::make_unique<http::ServerConnection>(base, socket, std::move(callbacks), account);
 }
 
+Duration CallerSession::idleTime(Instant now)
+{
+    if (connection_->hasPendingOutput()) {
+        outputPendingAt_ = now;
+    }
+    return now - std::max(connection_->lastReceived(), outputPendingAt_);
+}
+
 void CallerSession::sendHead(int status, const http::Headers &headers, http::Framing framing,
                              std::uint64_t length)
 {
--- a/src/gateway/gateway.cpp
+++ b/src/gateway/gateway.cpp
@@ -117,17 +117,23 @@
     }
 
 private:
-    // Calls `method` for each request in progress. The call may end the request and its session.
-    void forEachExchange(void (Exchange::*method)())
+    // Returns a copy: what is done with a session may remove it.
+    std::vector<std::shared_ptr<CallerSession>> openSessions() const
     {
-        std::vector<std::shared_ptr<Exchange>> exchanges;
+        std::vector<std::shared_ptr<CallerSession>> open;
         for (const auto &[id, session] : sessions_) {
-            if (auto exchange = session->exchange()) {
-                exchanges.push_back(std::move(exchange));
-            }
+            open.push_back(session);
         }
-        for (const auto &exchange : exchanges) {
-            ((*exchange).*method)();
+        return open;
+    }
+
+    // Calls `method` for each request in progress.
+    void forEachExchange(void (Exchange::*method)())
+    {
+        for (const auto &session : openSessions()) {
+            if (const auto exchange = session->exchange()) {
+                ((*exchange).*method)();
+            }
         }
     }
 
@@ -135,14 +141,8 @@
     void endAllSessions()
     {
         forEachExchange(&Exchange::endForShutdown);
-        std::vector<std::shared_ptr<CallerSession>> open;
-        for (const auto &[id, session] : sessions_) {
-            if (!session->isClosing()) {
-                open.push_back(session);
-            }
-        }
-        for (const auto &session : open) {
-            session->closeGracefully();
+        for (const auto &session : openSessions()) {
+            session->closeForExit();
         }
     }
 
@@ -173,11 +173,10 @@
             if (session->hasActiveExchange()) {
                 continue;
             }
-            const Duration sinceLastReceived = now - session->lastReceived();
-            const bool headerTimedOut =
-                session->isReadingMessage() && sinceLastReceived > limits.headerTimeout;
+            const bool headerTimedOut = session->isReadingMessage()
+                && session->sinceLastReceived(now) > limits.headerTimeout;
             const bool idleTimedOut =
-                !session->isReadingMessage() && sinceLastReceived > limits.idleTimeout;
+                !session->isReadingMessage() && session->idleTime(now) > limits.idleTimeout;
             if (headerTimedOut || idleTimedOut) {
                 expired.push_back(session);
             } else if (closeIdle && !session->isBusy()) {
--- a/src/gateway/internal/callersession.h
+++ b/src/gateway/internal/callersession.h
@@ -51,10 +51,13 @@
     // Returns the request in progress, or nullptr.
     std::shared_ptr<Exchange> exchange() const { return exchange_; }
     bool isReadingMessage() const { return connection_->isReadingMessage(); }
-    Instant lastReceived() const { return connection_->lastReceived(); }
-    bool isClosing() const { return connection_->isClosing(); }
+    Duration sinceLastReceived(Instant now) const { return now - connection_->lastReceived(); }
+    // Returns for how long the caller has neither sent anything nor had anything left to receive.
+    // The end of an output is noticed by the next call.
+    Duration idleTime(Instant now);
     void abort() { connection_->abort(); }
     void closeGracefully() { connection_->closeGracefully(); }
+    void closeForExit() { connection_->closeForExit(); }
 
     void sendHead(int status, const http::Headers &headers, http::Framing framing,
                   std::uint64_t length) override;
@@ -77,6 +80,8 @@
     RequestOrigin origin_;
     // The caller closed its connection while its request is still in progress.
     bool callerDisconnected_ = false;
+    // When output was pending last, as far as noticed.
+    Instant outputPendingAt_;
     std::shared_ptr<Exchange> exchange_;
     std::unique_ptr<http::ServerConnection> connection_;
 };
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -7,6 +7,8 @@
 
 #include <sys/socket.h>
 
+#include <utility>
+
 namespace daisyhaven::http {
 
 class ClientConnection::Impl : public internal::MessageSink
@@ -148,7 +150,8 @@
     {
         Impl &impl = implOf(user);
         if ((what & BEV_EVENT_CONNECTED) != 0) {
-            internal::setSocketOptions(bufferevent_getfd(connection), internal::ServerStallLimit);
+            internal::setSocketOptions(bufferevent_getfd(connection));
+            impl.watchDelivery();
             // The callback may replace the callbacks.
             if (const auto connected = impl.callbacks_.connected) {
                 connected();
@@ -171,6 +174,18 @@
         }
     }
 
+    void watchDelivery()
+    {
+        internal::DeliveryWatch::Callbacks callbacks;
+        callbacks.stalled = [this] {
+            open_ = false;
+            if (const auto closed = callbacks_.closed) {
+                closed();
+            }
+        };
+        transport_.watchDelivery(internal::ServerStallLimit, std::move(callbacks));
+    }
+
     void processInput()
     {
         lastReceived_ = monotonicNow();
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -168,8 +168,11 @@
     // Makes the connection close after the current response.
     void closeAfterResponse();
     bool isOutputFull() const;
-    // Returns true while response bytes wait to be written to the socket.
+    // Returns true while the caller has not received all response bytes.
     bool hasPendingOutput() const;
+    // Closes the connection as closeGracefully() does, for the end of the process: the kernel takes
+    // the output as far as it allows, and delivers it.
+    void closeForExit();
     // Returns true from the first byte of a request until its end.
     bool isReadingMessage() const;
     Instant lastReceived() const;
--- a/src/http/internal/connection.h
+++ b/src/http/internal/connection.h
@@ -3,6 +3,9 @@
 #pragma once
 
 #include "http/http.h"
+#include "http/internal/deliverywatch.h"
+
+#include <memory>
 
 struct bufferevent;
 
@@ -25,21 +28,27 @@
     void writeBody(std::string_view data);
     void writeBodyEnd();
     std::size_t pendingOutput() const;
+    // Watches from now on whether the peer takes the output. The socket is connected.
+    void watchDelivery(Milliseconds stallLimit, DeliveryWatch::Callbacks callbacks);
+    // Returns the bytes that the peer has not taken yet, those in the kernel included.
+    std::size_t undeliveredOutput() const;
+    // Lets the kernel take the pending output as far as it allows. It delivers what it has taken
+    // also after the end of the process.
+    void handOverOutput();
     void setReading(bool enabled);
 
 private:
     bufferevent *connection_;
+    std::unique_ptr<DeliveryWatch> deliveryWatch_;
     Framing framing_ = Framing::None;
 };
 
 // Time for which a backend server may take none of the data that it was sent.
 constexpr Milliseconds ServerStallLimit { 3000 };
-// The same for a client. The kernel ends the connection also if the client, which may just be busy,
-// acknowledges every probe and takes nothing, so the limit is that of ClientBudget.
+// The same for a client, with the limit of ClientBudget.
 constexpr Milliseconds ClientStallLimit = ClientBudget::ProgressPeriod;
 
-// Sets the options of HTTP sockets: TCP_NODELAY, keep-alive probes and the time for which the peer
-// may take none of the data that it was sent.
-void setSocketOptions(int socket, Milliseconds stallLimit);
+// Sets the options of HTTP sockets: TCP_NODELAY and keep-alive probes.
+void setSocketOptions(int socket);
 
 } // namespace daisyhaven::http::internal
--- a/src/http/server.cpp
+++ b/src/http/server.cpp
@@ -51,15 +51,17 @@
           callbacks_(std::move(callbacks)), parser_(htp_type_request, *this),
           budget_(account.budget), endEvent_(evtimer_new(base, &Impl::onEndEvent, this))
     {
-        internal::setSocketOptions(socket, internal::ClientStallLimit);
+        internal::setSocketOptions(socket);
         bufferevent_setcb(transport_.get(), &Impl::onReadable, &Impl::onOutputDrained,
                           &Impl::onEvent, this);
         bufferevent_setwatermark(transport_.get(), EV_READ, 0, InputHighWatermarkBytes);
         bufferevent_setwatermark(transport_.get(), EV_WRITE, OutputLowWatermarkBytes, 0);
         bufferevent_enable(transport_.get(), EV_READ | EV_WRITE);
+        transport_.watchDelivery(internal::ClientStallLimit,
+                                 { [this](std::size_t bytes) { handleProgress(bytes); },
+                                   [this] { startLingerIfDelivered(); }, [this] { abort(); } });
         if (budget_ != nullptr) {
             evbuffer_add_cb(bufferevent_get_input(transport_.get()), &Impl::onInputChanged, this);
-            evbuffer_add_cb(bufferevent_get_output(transport_.get()), &Impl::onOutputChanged, this);
             budgetId_ = budget_->add(account.group, monotonicNow(),
                                      [this](CloseCause cause) { cutOff(cause); });
         }
@@ -72,8 +74,6 @@
         if (budget_ != nullptr) {
             evbuffer_remove_cb(bufferevent_get_input(transport_.get()), &Impl::onInputChanged,
                                this);
-            evbuffer_remove_cb(bufferevent_get_output(transport_.get()), &Impl::onOutputChanged,
-                               this);
             budget_->remove(budgetId_);
         }
     }
@@ -166,9 +166,7 @@
         closing_ = true;
         reportUse();
         bufferevent_setwatermark(transport_.get(), EV_WRITE, 0, 0);
-        if (transport_.pendingOutput() == 0) {
-            startLinger();
-        }
+        endSending();
     }
 
     bool isClosing() const { return closing_; }
@@ -198,10 +196,6 @@
     {
         implOf(user).movedBytes_ += change->n_added;
     }
-    static void onOutputChanged(evbuffer * /*output*/, const evbuffer_cb_info *change, void *user)
-    {
-        implOf(user).movedBytes_ += change->n_deleted;
-    }
     static void onEndEvent(evutil_socket_t /*socket*/, short /*what*/, void *user)
     {
         implOf(user).end();
@@ -227,7 +221,7 @@
 
     Activity activity() const
     {
-        if (transport_.pendingOutput() > 0) {
+        if (transport_.undeliveredOutput() > 0) {
             return Activity::Sending;
         }
         if (closing_) {
@@ -259,9 +253,7 @@
     void handleOutputDrained()
     {
         if (closing_) {
-            if (transport_.pendingOutput() == 0) {
-                startLinger();
-            }
+            endSending();
             return;
         }
         if (awaitingNextRequest_) {
@@ -274,21 +266,37 @@
         }
     }
 
-    // Shuts down the sending side and waits until the caller closes the connection or a timeout
-    // passes. Closing at once could reset the connection before the caller has read the response.
-    void startLinger()
+    void handleProgress(std::size_t bytes)
+    {
+        movedBytes_ += bytes;
+        reportUse();
+    }
+
+    // Shuts down the sending side of a closing connection once the kernel has its output.
+    void endSending()
+    {
+        if (transport_.pendingOutput() == 0 && !sendingEnded_) {
+            sendingEnded_ = true;
+            shutdown(bufferevent_getfd(transport_.get()), SHUT_WR);
+            // Unread input would reset the connection at its end, and keep its timeout from
+            // running.
+            evbuffer *input = bufferevent_get_input(transport_.get());
+            evbuffer_drain(input, evbuffer_get_length(input));
+            bufferevent_enable(transport_.get(), EV_READ);
+            startLingerIfDelivered();
+        }
+    }
+
+    // Waits until the caller closes the connection or a timeout passes, which runs from when the
+    // caller has its response: closing earlier could reset the connection before.
+    void startLingerIfDelivered()
     {
-        if (lingering_) {
+        if (!sendingEnded_ || lingering_ || transport_.undeliveredOutput() > 0) {
             return;
         }
         lingering_ = true;
-        shutdown(bufferevent_getfd(transport_.get()), SHUT_WR);
-        // A full input would keep the timeout from running.
-        evbuffer *input = bufferevent_get_input(transport_.get());
-        evbuffer_drain(input, evbuffer_get_length(input));
         const timeval lingerTimeout { 1, 0 };
         bufferevent_set_timeouts(transport_.get(), &lingerTimeout, nullptr);
-        bufferevent_enable(transport_.get(), EV_READ);
         event_add(endEvent_, &LingerLimit);
     }
 
@@ -384,6 +392,8 @@
     // Reading is paused since the input holds as much as it may.
     bool inputIsFull_ = false;
     bool closing_ = false;
+    // The sending side has been shut down.
+    bool sendingEnded_ = false;
     bool lingering_ = false;
     bool closed_ = false;
     bool invalidReported_ = false;
@@ -449,6 +459,14 @@
     impl_->closeAfterOutput();
 }
 
+void ServerConnection::closeForExit()
+{
+    impl_->transport().handOverOutput();
+    if (!impl_->isClosing()) {
+        impl_->closeAfterOutput();
+    }
+}
+
 bool ServerConnection::isClosing() const
 {
     return impl_->isClosing();
@@ -466,7 +484,7 @@
 
 bool ServerConnection::hasPendingOutput() const
 {
-    return impl_->transport().pendingOutput() > 0;
+    return impl_->transport().undeliveredOutput() > 0;
 }
 
 bool ServerConnection::isReadingMessage() const
--- a/src/http/transport.cpp
+++ b/src/http/transport.cpp
@@ -8,8 +8,10 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
+#include <utility>
 
 namespace daisyhaven::http::internal {
 
@@ -18,11 +20,14 @@
 constexpr int KeepAliveIdleSeconds = 5;
 constexpr int KeepAliveIntervalSeconds = 1;
 constexpr int KeepAliveProbes = 3;
+// net.core.wmem_max of Linux where it isn't configured. Autotuning may have given a socket more.
+constexpr std::size_t MaxSettableSendBufferBytes = 212'992;
 
 } // namespace
 
 Transport::~Transport()
 {
+    deliveryWatch_.reset();
     bufferevent_free(connection_);
 }
 
@@ -76,6 +81,30 @@
     return evbuffer_get_length(bufferevent_get_output(connection_));
 }
 
+void Transport::watchDelivery(Milliseconds stallLimit, DeliveryWatch::Callbacks callbacks)
+{
+    deliveryWatch_ = std::make_unique<DeliveryWatch>(connection_, stallLimit, std::move(callbacks));
+}
+
+std::size_t Transport::undeliveredOutput() const
+{
+    return deliveryWatch_ ? deliveryWatch_->undelivered() : pendingOutput();
+}
+
+void Transport::handOverOutput()
+{
+    const int socket = bufferevent_getfd(connection_);
+    int capacity = 0;
+    socklen_t length = sizeof(capacity);
+    getsockopt(socket, SOL_SOCKET, SO_SNDBUF, &capacity, &length);
+    // The kernel doubles the value that is set, for its bookkeeping.
+    const auto needed =
+        static_cast<int>(std::min<std::size_t>(undeliveredOutput(), MaxSettableSendBufferBytes));
+    if (2 * needed > capacity) {
+        setsockopt(socket, SOL_SOCKET, SO_SNDBUF, &needed, sizeof(needed));
+    }
+}
+
 void Transport::setReading(bool enabled)
 {
     if (enabled) {
@@ -85,16 +114,14 @@
     }
 }
 
-void setSocketOptions(int socket, Milliseconds stallLimit)
+void setSocketOptions(int socket)
 {
     const int on = 1;
-    const int stallLimitMs = static_cast<int>(stallLimit.count());
     setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     setsockopt(socket, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
     setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &KeepAliveIdleSeconds, sizeof(int));
     setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &KeepAliveIntervalSeconds, sizeof(int));
     setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &KeepAliveProbes, sizeof(int));
-    setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &stallLimitMs, sizeof(int));
 }
 
 } // namespace daisyhaven::http::internal
--- a/src/testing/gatewayfleet.h
+++ b/src/testing/gatewayfleet.h
@@ -29,6 +29,7 @@
     return { "127.0.0.1", static_cast<std::uint16_t>(port) };
 }
 
+// The routes of the tests. A document `idleTimeoutMs=N` sets this limit of callers.
 inline routing::DocumentParse parseTestDocument(std::string document)
 {
     return [document = std::move(document)]() -> routing::ParseProgress {
@@ -48,6 +49,10 @@
         addRoute("/read/", routing::RouteKind::Idempotent, 2);
         addRoute("/read-once/", routing::RouteKind::Idempotent, 1);
         addRoute("/write/", routing::RouteKind::NonIdempotent, 2);
+        constexpr std::string_view IdleTimeout = "idleTimeoutMs=";
+        if (document.compare(0, IdleTimeout.size(), IdleTimeout) == 0) {
+            spec.limits.idleTimeout = Milliseconds(std::stoi(document.substr(IdleTimeout.size())));
+        }
         const auto table = attempt([&] { return routing::RoutingTable::create(spec); });
         return std::get<routing::RoutingTable>(table);
     };
@@ -105,6 +110,9 @@
         grantFreeSlots();
     }
 
+    // Sets the document that VMs receive; see parseTestDocument().
+    void setDocument(const std::string &document) { document_ = document; }
+
     void addRequestRelay(const peer::Address &address, const std::string &zone)
     {
         relays_.push_back({ address.toString(), zone });
@@ -137,7 +145,7 @@
         reply.set_has_document(true);
         reply.set_document_index(1);
         reply.mutable_state()->set_version(1);
-        reply.mutable_state()->set_document("test");
+        reply.mutable_state()->set_document(document_);
         for (std::size_t i = 0; i < servers_.size(); ++i) {
             wire::FleetServer *server = reply.add_changed();
             server->set_id("s" + std::to_string(i));
@@ -158,6 +166,7 @@
     std::vector<coordination::RequestRelay> relays_;
     peer::Server server_;
     std::vector<TimerHandle> delays_;
+    std::string document_ = "test";
     std::uint64_t granted_ = 0;
     std::size_t slots_ = std::numeric_limits<std::size_t>::max();
     std::size_t slotsInUse_ = 0;
@@ -235,6 +244,7 @@
         Vm vm;
         vm.leader = std::make_unique<LeaderStandIn>(base_.get(), timers_, localAddress(leader),
                                                     std::move(servers), requestRelays);
+        vm.leader->setDocument(document_);
         vm.clients = std::make_unique<peer::ClientPool>(base_.get(), timers_, credentials);
         vm.server = std::make_unique<peer::Server>(base_.get(), credentials);
         GatewayOptions options;
@@ -330,6 +340,7 @@
     // Replaces the response of the backend server, if set.
     http::ApiServer::Handler serveRequest_;
     Duration gracePeriod_ = Seconds(6);
+    std::string document_ = "test";
     int runs_ = 0;
     std::map<std::string, int> runsByPath_;
     std::size_t receivedBytes_ = 0;
