Gateway: the body and the server call of an exchange have files of their own

RequestBody now owns what is retained, sent on and paused (six members of Exchange); the call to a server is in exchangecall.cpp; the header says which step is where. No change in behaviour: the tests of the gateway pass unchanged.

--- a/src/gateway/exchangeadmission.cpp
+++ b/src/gateway/exchangeadmission.cpp
@@ -110,16 +110,19 @@
         }
     });
     admitted_ = true;
-    const bool tooLarge = std::max(bodyBytes_, head_.contentLength) > table_->limits().maxBodyBytes;
+    const bool tooLarge =
+        std::max(body_.receivedBytes(), head_.contentLength) > table_->limits().maxBodyBytes;
     if (tooLarge) {
         reject(ResultCode::BodyTooLarge, "", Duration(0));
         return;
     }
-    if (head_.expectsContinue && !bodyEnded_ && sink_ != nullptr) {
+    if (head_.expectsContinue && !body_.hasEnded() && sink_ != nullptr) {
         sink_->sendContinue();
     }
-    bodyEnded_ = bodyEnded_ || head_.framing == http::Framing::None;
-    if (isBodyReady()) {
+    if (head_.framing == http::Framing::None) {
+        body_.end();
+    }
+    if (body_.isReady()) {
         requestFirstSlot();
     }
 }
@@ -170,33 +173,27 @@
     }
 }
 
-bool Exchange::isBodyReady() const
-{
-    return bodyEnded_ || buffer_.size() >= MaxRetainedBodyBytes;
-}
-
 void Exchange::onBodyData(std::string_view data)
 {
     if (stage_ == Stage::Done) {
         return;
     }
-    bodyBytes_ += data.size();
-    buffer_.append(data);
+    body_.append(data);
     if (!admitted_) {
         return;
     }
-    if (bodyBytes_ > table_->limits().maxBodyBytes) {
+    if (body_.receivedBytes() > table_->limits().maxBodyBytes) {
         reject(ResultCode::BodyTooLarge, "", Duration(0));
         return;
     }
     if (stage_ == Stage::CallingBackend) {
-        forwardBody();
+        body_.forward(call_.get(), sink_);
         return;
     }
-    if (buffer_.size() >= MaxRetainedBodyBytes) {
-        pauseBody();
+    if (body_.isFull()) {
+        body_.pause(sink_);
     }
-    if (stage_ == Stage::ReadingBody && isBodyReady()) {
+    if (stage_ == Stage::ReadingBody && body_.isReady()) {
         requestFirstSlot();
     }
 }
@@ -206,14 +203,14 @@
     if (stage_ == Stage::Done) {
         return;
     }
-    bodyEnded_ = true;
+    body_.end();
     if (!admitted_) {
         return;
     }
     if (stage_ == Stage::ReadingBody) {
         requestFirstSlot();
     } else if (stage_ == Stage::CallingBackend) {
-        forwardBody();
+        body_.forward(call_.get(), sink_);
     }
 }
 
@@ -221,9 +218,9 @@
 void Exchange::requestFirstSlot()
 {
     const std::string team = team_ == nullptr ? "" : team_->name;
-    std::string text =
-        head_.method + " " + requestTarget() + " " + team + " " + std::to_string(bodyBytes_) + " ";
-    text.append(buffer_, 0, MaxFingerprintBodyBytes);
+    std::string text = head_.method + " " + requestTarget() + " " + team + " "
+        + std::to_string(body_.receivedBytes()) + " ";
+    text.append(body_.held(), 0, MaxFingerprintBodyBytes);
     fingerprint_ = XXH3_64bits(text.data(), text.size());
     requestSlot(sentAttempts_ > 0);
 }
--- a/src/gateway/exchangecompletion.cpp
+++ b/src/gateway/exchangecompletion.cpp
@@ -190,8 +190,7 @@
     stage_ = Stage::Done;
     deadlineTimer_ = TimerHandle();
     releaseSlot(scheduler::Outcome::Cancelled);
-    buffer_.clear();
-    buffer_.shrink_to_fit();
+    body_.release();
     const auto finished = std::move(finished_);
     finished_ = nullptr;
     http::ResponseSink *sink = sink_;
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -1,12 +1,15 @@
 // One HTTP exchange with a caller, from the request head to the end of the response.
 //
-// Steps: resolve the route and the team; read the body, completely or up to the retained size;
-// obtain a slot; call the backend server. A request that was sent is retried only if its route is
+// Steps: resolve the route and the team, and read the body, completely or up to the retained size
+// (exchangeadmission.cpp); obtain a slot (exchange.cpp); call the backend server
+// (exchangecall.cpp), or another VM as a relay (exchangerelay.cpp); respond, retry (exchange.cpp)
+// or refuse (exchangecompletion.cpp). A request that was sent is retried only if its route is
 // idempotent or if the request provably did not run.
 #pragma once
 
 #include "gateway/internal/backendcall.h"
 #include "gateway/internal/context.h"
+#include "gateway/internal/requestbody.h"
 #include "gateway/internal/requestrelays.h"
 #include "gateway/internal/slotclient.h"
 
@@ -52,7 +55,7 @@
     // The sink accepts more response data.
     void onSinkDrained();
     // Returns the approximate memory of the request's head and of the retained part of its body.
-    std::size_t heldBytes() const { return headBytes_ + buffer_.capacity(); }
+    std::size_t heldBytes() const { return headBytes_ + body_.heldBytes(); }
 
     // What the request waits for.
     enum class Stage : std::uint8_t {
@@ -72,14 +75,10 @@
     void endForShutdown();
 
 private:
-    // Body size that is read before a slot is requested, and that is retained for a retry.
-    static constexpr std::size_t MaxRetainedBodyBytes = 512UL * 1024;
-
     void admit();
     void scheduleAdmission();
     Result<void> resolveRouteAndTeam();
     void parseDeadline();
-    bool isBodyReady() const;
     std::string requestTarget() const;
     void requestFirstSlot();
     scheduler::SlotRequest makeSlotRequest(bool retry) const;
@@ -92,10 +91,6 @@
     void addForwardedHeaders(const http::Headers &replaced, http::Headers *headers) const;
     CallRequest makeCallRequest(const Slot &slot) const;
     CallCallbacks makeCallCallbacks();
-    void forwardBody();
-    void sendBufferedBody();
-    void pauseBody();
-    void resumeBody();
     void onResponse(const http::ResponseHead &head, const std::string &body);
     void cancelSlotRequest();
     bool isRelayed() const { return origin_ == RequestOrigin::OtherVm; }
@@ -157,13 +152,8 @@
     std::string service_;
     std::uint64_t fingerprint_ = 0;
 
-    std::string buffer_; // body not yet sent to a server, or retained for a retry
-    std::uint64_t bodyBytes_ = 0;
+    RequestBody body_;
     bool admitted_ = false;
-    bool bodyEnded_ = false;
-    bool bodyPaused_ = false;
-    bool bodyRetained_ = true; // buffer_ holds the whole body received so far
-    bool bodyForwarded_ = false; // the current attempt has the whole body
 
     std::uint64_t slotRequestId_ = 0;
     bool slotIsForRetry_ = false;
