--- a/src/consensus/consensus.h
+++ b/src/consensus/consensus.h
@@ -195,6 +195,8 @@
 
     // Appends a command and returns its index. Errors: NotLeader.
     Result<std::uint64_t> propose(Instant now, std::string payload);
+    // Sets the members with which the group was founded, for a replica that knows no members.
+    void setInitialMembers(const Members &members);
     // Sets the replicas that receive the log without a vote. Does nothing on other replicas than
     // the leader.
     void setLearners(Instant now, const Members &learners);
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -141,6 +141,14 @@
     }
 }
 
+void Replica::setInitialMembers(const Members &members)
+{
+    if (members_.empty() && snapshot_.index == 0) {
+        snapshot_.members = members;
+        updateMembersFromLog();
+    }
+}
+
 void Replica::resetElectionTimer(Instant now)
 {
     std::uniform_int_distribution<Duration::rep> timeout(timings_.minElectionTimeout.count(),
@@ -286,7 +294,13 @@
     }
     actions_.emplace_back(BecameLeader { hardState_.term });
     firstIndexOfTerm_ = lastIndex() + 1;
-    appendAsLeader(now, Entry {});
+    Entry first;
+    if (membershipIndex_ == 0) {
+        // The log of a group whose members have never changed would not name them.
+        first.kind = EntryKind::Membership;
+        first.members = members_;
+    }
+    appendAsLeader(now, std::move(first));
 }
 
 void Replica::appendAsLeader(Instant now, Entry entry)
--- a/src/control/control.cpp
+++ b/src/control/control.cpp
@@ -553,14 +553,16 @@
         return fail(ResultCode::SettingsInvalid,
                     "the fleet file lists no control VM with id " + settings.id);
     }
-    return replication::DiskLog::initialize(settings.dataFolder, settings.id);
+    return replication::DiskLog::initialize(settings.dataFolder, settings.id,
+                                            initialMembersOf(settings));
 }
 
 Result<void> runControlVm(const settings::VmSettings &settings)
 {
-    BOOST_LEAF_AUTO(
-        disk,
-        replication::DiskLog::open(settings.dataFolder, settings.id, initialMembersOf(settings)));
+    BOOST_LEAF_AUTO(disk, replication::DiskLog::open(settings.dataFolder, settings.id));
+    if (disk->lacksMembers()) {
+        BOOST_LEAF_CHECK(disk->setInitialMembers(initialMembersOf(settings)));
+    }
     ControlVm vm(settings, std::move(disk));
     return vm.run();
 }
--- a/src/control/control_test.cpp
+++ b/src/control/control_test.cpp
@@ -28,7 +28,7 @@
 
     std::variant<std::unique_ptr<DiskLog>, Failure> open()
     {
-        return attempt([&] { return DiskLog::open(folder_, "control-a1", initialMembers_); });
+        return attempt([&] { return DiskLog::open(folder_, "control-a1"); });
     }
     std::unique_ptr<DiskLog> mustOpen()
     {
@@ -52,7 +52,8 @@
     // Initializes the folder of an initial member and writes entries 1 to `count`.
     void initializeWithEntries(std::uint64_t count)
     {
-        ASSERT_TRUE(succeeds([&] { return DiskLog::initialize(folder_, "control-a1"); }));
+        ASSERT_TRUE(
+            succeeds([&] { return DiskLog::initialize(folder_, "control-a1", initialMembers_); }));
         const auto disk = mustOpen();
         for (std::uint64_t i = 1; i <= count; ++i) {
             ASSERT_TRUE(succeeds([&] { return disk->writeEntries(i, { entry(i, 1) }); }));
@@ -71,6 +72,33 @@
                                            "127.0.0.1:1" } };
 };
 
+// Guards against a replica that takes those who are listed at a later start for its group.
+TEST_F(DiskLogTest, FoundersAreStored)
+{
+    initialMembers_.push_back({ "control-b1", initialMemberId("control-b1"), "127.0.0.1:2" });
+    initializeWithEntries(1);
+    const auto disk = mustOpen();
+    EXPECT_FALSE(disk->lacksMembers());
+    EXPECT_EQ(disk->storedState().snapshot.members, initialMembers_);
+}
+
+TEST_F(DiskLogTest, FoundersOfAnEarlierReleaseAreLearnedOnce)
+{
+    std::filesystem::create_directories(folder_);
+    std::ofstream(folder_ + "/identity", std::ios::binary) << replication::encodeLogRecord(
+        R"({"vm":"control-a1","identity":"founder-control-a1","founding":true})");
+    {
+        const auto disk = mustOpen();
+        EXPECT_TRUE(disk->lacksMembers());
+        EXPECT_TRUE(disk->storedState().snapshot.members.empty());
+        ASSERT_TRUE(succeeds([&] { return disk->setInitialMembers(initialMembers_); }));
+        ASSERT_TRUE(succeeds([&] { return disk->setInitialMembers({}); }));
+    }
+    const auto disk = mustOpen();
+    EXPECT_FALSE(disk->lacksMembers());
+    EXPECT_EQ(disk->storedState().snapshot.members, initialMembers_);
+}
+
 TEST_F(DiskLogTest, ReopenReturnsWrittenState)
 {
     initializeWithEntries(600);
@@ -158,7 +186,7 @@
         initializeWithEntries(5);
         LimitedDisk limited { availableBytes };
         const auto opened = attempt([&] {
-            return DiskLog::open(folder_, "control-a1", initialMembers_,
+            return DiskLog::open(folder_, "control-a1",
                                  [&](int file, const void *bytes, std::size_t count) {
                                      return limited.write(file, bytes, count);
                                  });
@@ -224,8 +252,7 @@
 TEST_F(DiskLogTest, FolderOfAnotherVmAndLogWithoutIdentityAreRejected)
 {
     initializeWithEntries(1);
-    const auto other =
-        attempt([&] { return DiskLog::open(folder_, "control-b1", initialMembers_); });
+    const auto other = attempt([&] { return DiskLog::open(folder_, "control-b1"); });
     EXPECT_TRUE(std::holds_alternative<Failure>(other));
     std::filesystem::remove(folder_ + "/identity");
     EXPECT_TRUE(std::holds_alternative<Failure>(open()));
--- a/src/coordination/controltask.cpp
+++ b/src/coordination/controltask.cpp
@@ -71,6 +71,7 @@
 
     Result<void> start()
     {
+        BOOST_LEAF_CHECK(runner_.setInitialMembers(foundersAmongSeeds(options_)));
         BOOST_LEAF_CHECK(runner_.start());
         registerHandlers();
         tick_ = timers_.runEvery(TickPeriod, [this] { tick(); });
@@ -82,7 +83,18 @@
 
     void leave(std::function<void()> done) { membership_.leave(std::move(done)); }
 
-    void setSeeds(std::vector<peer::Address> seeds) { leaderClient_.setSeeds(std::move(seeds)); }
+    void setSeeds(std::vector<peer::Address> seeds)
+    {
+        options_.seeds = std::move(seeds);
+        leaderClient_.setSeeds(options_.seeds);
+        const auto learned = attempt([this]() -> Result<bool> {
+            BOOST_LEAF_CHECK(runner_.setInitialMembers(foundersAmongSeeds(options_)));
+            return true;
+        });
+        if (const auto *failure = std::get_if<Failure>(&learned)) {
+            logEvent(Event::ChangeRefused, { { "reason", toString(*failure) } });
+        }
+    }
 
     // ---- calls from operators and backend servers ----
 
--- a/src/coordination/coordination_test.cpp
+++ b/src/coordination/coordination_test.cpp
@@ -8,6 +8,7 @@
 #include <unistd.h>
 
 #include <filesystem>
+#include <fstream>
 
 namespace daisyhaven::coordination {
 namespace {
@@ -399,6 +400,44 @@
     }
 }
 
+// Guards against a group that finds no leader again, since each founder took the seeds of its last
+// start, from which it was missing itself, for the members.
+TEST_F(ControlTaskTest, FoundersRestartedInTurnAreStillTheGroup)
+{
+    startAll();
+    ASSERT_TRUE(put(7, "seven"));
+    for (int i = 0; i < Replicas; ++i) {
+        replicas_[static_cast<std::size_t>(i)].reset();
+        startReplica(i, false, false);
+        ASSERT_EQ(read(), "seven") << "after replica " << i;
+    }
+    EXPECT_TRUE(put(8, "eight"));
+    EXPECT_EQ(memberCount(), Replicas);
+}
+
+// Founders whose folders an earlier release has written, without members, don't take a list from
+// which they are missing for their group. Two that are told learn it, and the third from their log.
+TEST_F(ControlTaskTest, FoundersOfAnEarlierReleaseLearnTheirGroup)
+{
+    for (int i = 0; i < Replicas; ++i) {
+        const std::string folder = folder_ + "/" + std::to_string(i);
+        const std::string address = addressOf(i).toString();
+        std::filesystem::create_directories(folder);
+        std::ofstream(folder + "/identity", std::ios::binary) << replication::encodeLogRecord(
+            R"({"vm":")" + address + R"(","identity":")" + replication::initialMemberId(address)
+            + R"(","founding":true})");
+        startReplica(i, false, false);
+    }
+    EXPECT_FALSE(runUntil([&] { return leader() != nullptr; }, Seconds(2)));
+    for (int i = 0; i < 2; ++i) {
+        replicas_[static_cast<std::size_t>(i)]->task->setSeeds(
+            { addressOf(0), addressOf(1), addressOf(2) });
+    }
+    ASSERT_TRUE(put(7, "seven"));
+    EXPECT_TRUE(runUntil([&] { return allAgreeOnMembersSince(0); }));
+    EXPECT_EQ(memberCount(), Replicas);
+}
+
 // The disk of the leader is full. Another replica becomes the leader, no confirmed change is lost,
 // and the replica with the full disk takes part again without a restart once space is available.
 TEST_F(ControlTaskTest, ReplicaWithFullDiskYieldsUntilSpaceIsAvailable)
--- a/src/observe/events.cpp
+++ b/src/observe/events.cpp
@@ -185,6 +185,8 @@
           "The leader proposes another phase of a roll-out, for this reason." },
         { Event::ControlMemberDecided, "ControlMemberDecided", "info",
           "The leader changes the members of the control group, for this reason." },
+        { Event::ControlFoundersLearned, "ControlFoundersLearned", "info",
+          "The folder of an initial member, written by an earlier release, now names the group." },
         { Event::LeaseAcquired, "LeaseAcquired", "info", "This VM holds a lease." },
         { Event::LeaseLost, "LeaseLost", "warn", "This VM no longer holds a lease." },
         { Event::VoterRecovered, "VoterRecovered", "info",
--- a/src/observe/observe.h
+++ b/src/observe/observe.h
@@ -58,6 +58,7 @@
     RolloutRefused = 1316,
     RolloutDecided = 1317,
     ControlMemberDecided = 1318,
+    ControlFoundersLearned = 1319,
     LeaseAcquired = 1401,
     LeaseLost = 1402,
     VoterRecovered = 1403,
--- a/src/replication/disklog.cpp
+++ b/src/replication/disklog.cpp
@@ -12,6 +12,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <array>
 #include <cstring>
 #include <filesystem>
@@ -145,12 +146,37 @@
 Result<void> writeIdentity(const WriteFunction &write, const std::string &folder,
                            const ReplicaIdentity &identity)
 {
+    nlohmann::json members = nlohmann::json::array();
+    for (const consensus::MemberInfo &member : identity.initialMembers) {
+        members.push_back({ { "vm", member.vm },
+                            { "identity", member.replicaId },
+                            { "address", member.peerAddress } });
+    }
     const nlohmann::json document { { "vm", identity.vm },
                                     { "identity", identity.replicaId },
-                                    { "founding", identity.isInitialMember } };
+                                    { "founding", identity.isInitialMember },
+                                    { "members", members } };
     return replaceFile(write, folder, "identity", encodeLogRecord(toJsonText(document)));
 }
 
+Result<ReplicaIdentity> readIdentity(const std::string &folder)
+{
+    BOOST_LEAF_AUTO(payload, readRecordFile(folder + "/identity"));
+    const auto document = nlohmann::json::parse(payload, nullptr, false);
+    if (!document.is_object()) {
+        return fail(ResultCode::RecordDamaged, folder + "/identity");
+    }
+    ReplicaIdentity identity { document.value("vm", ""),
+                               document.value("identity", ""),
+                               document.value("founding", false),
+                               {} };
+    for (const auto &member : document.value("members", nlohmann::json::array())) {
+        identity.initialMembers.push_back(
+            { member.value("vm", ""), member.value("identity", ""), member.value("address", "") });
+    }
+    return identity;
+}
+
 std::string encodeSyncedOffset(std::uint64_t bytes)
 {
     std::string payload(sizeof(bytes), '\0');
@@ -234,7 +260,8 @@
     }
 }
 
-Result<void> DiskLog::initialize(const std::string &folder, const std::string &vm)
+Result<void> DiskLog::initialize(const std::string &folder, const std::string &vm,
+                                 const consensus::Members &initialMembers)
 {
     std::error_code error;
     std::filesystem::create_directories(folder, error);
@@ -245,11 +272,10 @@
         return fail(ResultCode::IdentityLost,
                     folder + " already contains a replica identity or a log");
     }
-    return writeIdentity(&::write, folder, { vm, initialMemberId(vm), true });
+    return writeIdentity(&::write, folder, { vm, initialMemberId(vm), true, initialMembers });
 }
 
 Result<std::unique_ptr<DiskLog>> DiskLog::open(const std::string &folder, const std::string &vm,
-                                               const consensus::Members &initialMembers,
                                                WriteFunction write)
 {
     if (!write) {
@@ -262,29 +288,43 @@
             return fail(ResultCode::IdentityLost,
                         folder + " contains a log or a snapshot but no replica identity");
         }
-        BOOST_LEAF_CHECK(writeIdentity(write, folder, { vm, generateReplicaId(), false }));
-    }
-    BOOST_LEAF_AUTO(payload, readRecordFile(folder + "/identity"));
-    const auto document = nlohmann::json::parse(payload, nullptr, false);
-    if (!document.is_object()) {
-        return fail(ResultCode::RecordDamaged, folder + "/identity");
+        BOOST_LEAF_CHECK(writeIdentity(write, folder, { vm, generateReplicaId(), false, {} }));
     }
-    ReplicaIdentity identity { document.value("vm", ""), document.value("identity", ""),
-                               document.value("founding", false) };
+    BOOST_LEAF_AUTO(identity, readIdentity(folder));
     if (identity.vm != vm) {
         return fail(ResultCode::IdentityLost,
                     folder + " belongs to VM " + identity.vm + ", not to VM " + vm);
     }
     std::unique_ptr<DiskLog> disk(new DiskLog(folder, std::move(identity), std::move(write)));
-    BOOST_LEAF_CHECK(disk->load(initialMembers));
+    BOOST_LEAF_CHECK(disk->load());
     return disk;
 }
 
-Result<void> DiskLog::load(const consensus::Members &initialMembers)
+bool DiskLog::lacksMembers() const
 {
-    if (identity_.isInitialMember) {
-        storedState_.snapshot.members = initialMembers;
-    }
+    const auto &entries = storedState_.entries;
+    const bool isInLog = std::any_of(entries.begin(), entries.end(), [](const auto &entry) {
+        return entry.kind == consensus::EntryKind::Membership;
+    });
+    return identity_.isInitialMember && storedState_.snapshot.members.empty() && !isInLog;
+}
+
+Result<void> DiskLog::setInitialMembers(const consensus::Members &members)
+{
+    if (!lacksMembers()) {
+        return {};
+    }
+    ReplicaIdentity identity = identity_;
+    identity.initialMembers = members;
+    BOOST_LEAF_CHECK(writeIdentity(write_, folder_, identity));
+    identity_ = std::move(identity);
+    storedState_.snapshot.members = members;
+    return {};
+}
+
+Result<void> DiskLog::load()
+{
+    storedState_.snapshot.members = identity_.initialMembers;
     if (fileExists(path("hardstate"))) {
         BOOST_LEAF_AUTO(payload, readRecordFile(path("hardstate")));
         wire::HardState message;
--- a/src/replication/replication.h
+++ b/src/replication/replication.h
@@ -34,9 +34,12 @@
 {
     std::string vm;
     std::string replicaId;
-    // True for an initial member of the group, which is configured with the initial members at
-    // bootstrap. Any other replica starts without members and joins later.
+    // True for an initial member of the group. Any other replica starts without members and joins
+    // later.
     bool isInitialMember = false;
+    // The members with which the group was founded. Empty on other replicas, and as long as an
+    // initial member whose folder was written by a release before 2026-12 has not learned them.
+    consensus::Members initialMembers;
 };
 
 // Returns a record of the log file: length, checksum, payload.
@@ -63,14 +66,13 @@
 class DiskLog
 {
 public:
-    // Creates the folder and the identity of an initial member. Errors: IdentityLost if the folder
-    // already holds a replica, StorageFailed, StorageFull.
-    static Result<void> initialize(const std::string &folder, const std::string &vm);
+    // Creates the folder and the identity of an initial member of a group with these members.
+    // Errors: IdentityLost if the folder already holds a replica, StorageFailed, StorageFull.
+    static Result<void> initialize(const std::string &folder, const std::string &vm,
+                                   const consensus::Members &initialMembers);
     // Opens the folder and loads its state. If the folder is empty, creates a random identity that
-    // is not an initial member. An initial member without a snapshot starts with the members
-    // `initialMembers`. Errors: IdentityLost, RecordDamaged, StorageFailed, StorageFull.
+    // is not an initial member. Errors: IdentityLost, RecordDamaged, StorageFailed, StorageFull.
     static Result<std::unique_ptr<DiskLog>> open(const std::string &folder, const std::string &vm,
-                                                 const consensus::Members &initialMembers,
                                                  WriteFunction write = nullptr);
     DiskLog(const DiskLog &) = delete;
     DiskLog &operator=(const DiskLog &) = delete;
@@ -82,6 +84,13 @@
     // Returns true if open() truncated a torn write at the end of the log.
     bool wasTailTruncated() const { return tailWasTruncated_; }
 
+    // Returns true if this is an initial member and neither its identity, its snapshot nor its log
+    // holds the members of the group.
+    bool lacksMembers() const;
+    // Stores the members with which the group was founded, if they are lacking. Errors:
+    // StorageFull, StorageFailed.
+    Result<void> setInitialMembers(const consensus::Members &members);
+
     // Each write returns after the data is synced. Errors: StorageFull, StorageFailed.
     Result<void> writeHardState(const consensus::HardState &state);
     // Removes the entries with index `from` and above, then appends `entries`.
@@ -93,7 +102,7 @@
 private:
     DiskLog(std::string folder, ReplicaIdentity identity, WriteFunction write);
 
-    Result<void> load(const consensus::Members &initialMembers);
+    Result<void> load();
     Result<void> openLog();
     Result<void> rewriteLog(std::uint64_t firstIndex, const std::vector<consensus::Entry> &entries);
     Result<void> truncateLog(std::uint64_t bytes);
@@ -159,6 +168,9 @@
     Result<void> start();
     // Appends a command to the log and returns its index. Errors: NotLeader, StorageFull.
     Result<std::uint64_t> propose(std::string payload);
+    // Tells an initial member that lacks them the members with which the group was founded.
+    // Otherwise does nothing. Errors: StorageFull, StorageFailed.
+    Result<void> setInitialMembers(const consensus::Members &members);
     // Propose a change of the members; see consensus::Replica.
     Result<void> addMember(const consensus::MemberInfo &member);
     Result<void> removeMember(const std::string &identity);
--- a/src/replication/runner.cpp
+++ b/src/replication/runner.cpp
@@ -69,6 +69,17 @@
     return index;
 }
 
+Result<void> ReplicaRunner::setInitialMembers(const consensus::Members &members)
+{
+    const bool isLacking = disk_->lacksMembers() && replica_.members().empty();
+    if (isLacking && !members.empty()) {
+        BOOST_LEAF_CHECK(disk_->setInitialMembers(members));
+        replica_.setInitialMembers(members);
+        logEvent(Event::ControlFoundersLearned, { { "members", members.size() } });
+    }
+    return {};
+}
+
 Result<void> ReplicaRunner::addMember(const consensus::MemberInfo &member)
 {
     BOOST_LEAF_CHECK(replica_.addMember(timers_.now(), member));
--- a/src/testing/controlgroup.h
+++ b/src/testing/controlgroup.h
@@ -56,7 +56,9 @@
         return { "127.0.0.1", static_cast<std::uint16_t>(port_ + replica) };
     }
 
-    void startReplica(int index, bool bootstrap)
+    // Starts a replica with all replicas as seeds; without `listsItself`, with the others only, as
+    // after an absence.
+    void startReplica(int index, bool bootstrap, bool listsItself = true)
     {
         auto replica = std::make_unique<Replica>();
         replica->server = std::make_unique<peer::Server>(base_.get(), credentials());
@@ -65,7 +67,11 @@
         options.vm = "control-" + std::to_string(index);
         options.ownAddress = addressOf(index);
         options.dataFolder = folder_ + "/" + std::to_string(index);
-        options.seeds = { addressOf(0), addressOf(1), addressOf(2) };
+        for (int i = 0; i < Replicas; ++i) {
+            if (i != index || listsItself) {
+                options.seeds.push_back(addressOf(i));
+            }
+        }
         options.bootstrap = bootstrap;
         options.groupSize = Replicas;
         options.documentParser = &readEmptyTable;
