Soak: entry VMs stop as planned while a service is short, and no request is cut then

A request that a stopping VM has read gets a server or an answer (new check; the uploads of the soak may now take longer than the grace period).

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -9,16 +9,18 @@
 from oracle import Request
 
 MAX_KEPT = 4
+USUAL_DEADLINE_S = 2.0
 
 
 class Route:
-    def __init__(self, name, path, method, kind, service, body_bytes):
+    def __init__(self, name, path, method, kind, service, body_bytes, deadline_s=USUAL_DEADLINE_S):
         self.name = name
         self.path = path
         self.method = method
         self.kind = kind
         self.service = service
         self.body_bytes = body_bytes
+        self.deadline_s = deadline_s
 
     @property
     def repeatable(self):
@@ -27,7 +29,8 @@
 
 ROUTES = (Route("status", "/status/7", "GET", "idempotent", "desk", 0),
           Route("orders", "/orders/9", "POST", "non_idempotent", "desk", 300),
-          Route("photos", "/photos/3", "POST", "upload", "archive", 30000))
+          # Longer than the grace period, so that its requests may wait at the end of a planned stop.
+          Route("photos", "/photos/3", "POST", "upload", "archive", 30000, deadline_s=8.0))
 HOST = "shop.example"
 
 
@@ -77,13 +80,15 @@
         route = self.random.choices(ROUTES, weights=(3, 6, 1))[0]
         team = self.random.choice(sorted(self.teams))
         body = self.random.randbytes(route.body_bytes)
-        request = Request(f"{next(self.numbers):016x}", route, team, body, deadline_s=2.0)
+        request = Request(f"{next(self.numbers):016x}", route, team, body, route.deadline_s)
         request.entry = entry
         self.oracle.requests[request.id] = request
         try:
             await asyncio.wait_for(self._exchange(entry, request), request.deadline_s + 0.3)
-        except (OSError, http1.Closed, asyncio.TimeoutError, asyncio.LimitOverrunError):
+        except (asyncio.TimeoutError, asyncio.LimitOverrunError):
             pass
+        except (OSError, http1.Closed):
+            self.oracle.cut_off(request, entry)
         self.ends.append((asyncio.get_running_loop().time(), request.status))
 
     async def _exchange(self, entry, request):
@@ -117,7 +122,8 @@
 
 def document(teams, timeout_ms):
     """Returns a complete configuration in the format of the platform."""
-    routes = [[route.name, HOST, f"/{route.path.split('/')[1]}/", route.kind, timeout_ms, 600,
+    routes = [[route.name, HOST, f"/{route.path.split('/')[1]}/", route.kind,
+               int(timeout_ms * route.deadline_s / USUAL_DEADLINE_S), 600,
                2 if route.repeatable else 1, None, 2, False, route.service] for route in ROUTES]
     services = [[name, "/health", 100, "h1", False, 1.0, 10.0] for name in ("desk", "archive")]
     rows = [[name, [f"key-{name}"], 1, rate, burst] for name, (rate, burst) in sorted(teams.items())]
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,8 @@
 CATCH_UP_S = 6.0
 # Upper bound on the duration of the longest fault, including retried requests of operators.
 FAULTS_END_S = 90
+# Requests that a server takes while its service is short.
+SHORT_PER_S = 0.3
 
 
 class Faults:
@@ -33,8 +35,9 @@
         end = time.monotonic() + seconds
         kinds = (self.kill, self.pause, self.terminate, self.kill_all_controls, self.wipe, self.hang_up,
                  self.break_server, self.break_path, self.crash_server, self.replace_server, self.change,
-                 self.race, self.zone_out, self.limit_servers, self.replace_unannounced, self.replace_control)
-        weights = (3, 4, 3, 1, 1, 1, 4, 4, 2, 2, 3, 1, 1, 2, 2, 2)
+                 self.race, self.zone_out, self.limit_servers, self.replace_unannounced, self.replace_control,
+                 self.stop_while_short)
+        weights = (3, 4, 3, 1, 1, 1, 4, 4, 2, 2, 3, 1, 1, 2, 2, 2, 2)
         while time.monotonic() < end:
             fault = self.random.choices(kinds, weights)[0]
             self.tasks.append(asyncio.create_task(self._logged(fault)))
@@ -80,6 +83,20 @@
         process.start()
         return process.name
 
+    async def stop_while_short(self):
+        """An entry VM stops as planned while the servers of one service take hardly anything."""
+        servers = [server for server in self.fleet.servers if server.service == "archive" and server.state == "ready"]
+        for server in servers:
+            server.name_limit(SHORT_PER_S)
+        await asyncio.sleep(self.random.uniform(1, 3))
+        process = self.random.choice(self.fleet.entries)
+        process.signal(signal.SIGTERM)
+        await process.ended()
+        process.start()
+        for server in servers:
+            server.name_limit(None)
+        return process.name
+
     async def kill_all_controls(self):
         for process in self.fleet.controls:
             process.signal(signal.SIGKILL)
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -44,6 +44,8 @@
         self.binary = fleet.binary
         # Whether the current process was told to end.
         self.ending = False
+        # Whether it was told by SIGTERM, and has not been disturbed since.
+        self.stops_as_planned = False
         # Exit codes of processes that ended without being told to.
         self.own_ends = []
         # Times at which a signal stopped, killed or paused the process, and at which it was started.
@@ -59,6 +61,7 @@
             return
         self.note_own_end()
         self.ending = False
+        self.stops_as_planned = False
         os.makedirs(self.folder, exist_ok=True)
         settings = os.path.join(self.folder, "settings.toml")
         with open(settings, "w", encoding="ascii") as file:
@@ -103,6 +106,8 @@
             if number != signal.SIGHUP:
                 self.troubled_at.append(time.monotonic())
             self.ending = self.ending or number in (signal.SIGKILL, signal.SIGTERM)
+            if number != signal.SIGHUP:
+                self.stops_as_planned = number == signal.SIGTERM and self.state() != "T"
             self.process.send_signal(number)
 
     def note_own_end(self):
--- a/tests/soak/oracle.py
+++ b/tests/soak/oracle.py
@@ -13,6 +13,8 @@
 RETRY_SLACK = 40
 ZONE_OUT_S = 5.0
 READ_LAG_S = 2.0
+# A VM has read a whole request this long after it was sent.
+READ_S = 0.5
 
 
 class Request:
@@ -83,6 +85,13 @@
 
     # ---- callers ----
 
+    def cut_off(self, request, entry):
+        """A caller's connection ended without a response."""
+        age = time.monotonic() - request.sent_at
+        if entry.stops_as_planned and age > READ_S and not request.arrivals:
+            self.fail("planned stop", f"{request.id} ({request.route.path}) was sent to {entry.name} {age:.2f} s ago, "
+                                      "and got neither a server nor an answer")
+
     def answered(self, request, status, headers, body, servers):
         request.status = status
         self.statements.passed_on(request, headers)
