--- a/src/gateway/backendcall.cpp
+++ b/src/gateway/backendcall.cpp
@@ -171,6 +171,11 @@
     return !finished_ && connection_->isOutputFull();
 }
 
+std::size_t BackendCall::pendingOutput() const
+{
+    return finished_ ? 0 : connection_->pendingOutput();
+}
+
 void BackendCall::pauseReading()
 {
     if (!finished_) {
--- a/src/gateway/internal/backendcall.h
+++ b/src/gateway/internal/backendcall.h
@@ -67,6 +67,8 @@
     void sendBody(std::string_view data);
     void endBody();
     bool outputFull() const;
+    // Returns the bytes of the request that wait to be written to the socket.
+    std::size_t pendingOutput() const;
     void pauseReading();
     void resumeReading();
     // Closes the connection, which cancels the request. No callback runs afterwards.
--- a/src/gateway/internal/exchange.h
+++ b/src/gateway/internal/exchange.h
@@ -54,8 +54,12 @@
     void onCallerDisconnected();
     // The sink accepts more response data.
     void onSinkDrained();
-    // Returns the approximate memory of the request's head and of the retained part of its body.
-    std::size_t heldBytes() const { return headBytes_ + body_.heldBytes(); }
+    // Returns the approximate memory of the request's head and of its body, as far as it is
+    // retained or not yet taken by a server.
+    std::size_t heldBytes() const
+    {
+        return headBytes_ + body_.heldBytes() + (call_ ? call_->pendingOutput() : 0);
+    }
 
     // What the request waits for.
     enum class Stage : std::uint8_t {
--- a/src/gateway/internal/requestbody.h
+++ b/src/gateway/internal/requestbody.h
@@ -22,6 +22,7 @@
     // Returns true while another attempt could send the body from its begin.
     bool isRetained() const { return retained_; }
     std::uint64_t receivedBytes() const { return receivedBytes_; }
+    // Returns the memory that is held, beside what the call holds.
     std::size_t heldBytes() const { return buffer_.capacity(); }
     // Returns the part that is held: not yet sent, or retained.
     const std::string &held() const { return buffer_; }
@@ -37,6 +38,7 @@
     void release();
 
 private:
+    void makeRoom(std::size_t bytes);
     void send(BackendCall *call);
     void resume(http::ResponseSink *sink);
 
--- a/src/gateway/requestbody.cpp
+++ b/src/gateway/requestbody.cpp
@@ -1,20 +1,40 @@
 #include "gateway/internal/requestbody.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace daisyhaven::gateway {
 
 namespace {
 
 // Bytes of a body that are read before a slot is requested, and that are retained for a retry.
 constexpr std::size_t MaxRetainedBytes = 512UL * 1024;
+// What is read beyond that before reading pauses.
+constexpr std::size_t ReadAheadBytes = 64UL * 1024;
 
 } // namespace
 
 void RequestBody::append(std::string_view data)
 {
     receivedBytes_ += data.size();
+    makeRoom(data.size());
     buffer_.append(data);
 }
 
+// Doubles the room as std::string would, but not beyond what a body holds at most.
+void RequestBody::makeRoom(std::size_t bytes)
+{
+    const std::size_t needed = buffer_.size() + bytes;
+    if (needed <= buffer_.capacity()) {
+        return;
+    }
+    std::string larger;
+    larger.reserve(
+        std::max(needed, std::min(2 * buffer_.capacity(), MaxRetainedBytes + ReadAheadBytes)));
+    larger += buffer_;
+    buffer_ = std::move(larger);
+}
+
 bool RequestBody::isFull() const
 {
     return buffer_.size() >= MaxRetainedBytes;
@@ -46,7 +66,7 @@
     }
     call->sendBody(buffer_);
     if (!retained_) {
-        buffer_.clear();
+        release();
     }
     if (ended_) {
         forwarded_ = true;
--- a/src/gateway/uploadbackpressure_test.cpp
+++ b/src/gateway/uploadbackpressure_test.cpp
@@ -13,6 +13,8 @@
 // Covers the buffers of four sockets, which the kernel enlarges to a few megabytes each.
 constexpr std::size_t MaxAcceptedBytes = UploadBytes / 2;
 constexpr Milliseconds ObservedTime { 1500 };
+// The retained part of a body, and what is read ahead and waits to be written beside it.
+constexpr std::size_t MaxHeldBytes = (512UL + 4 * 64UL) * 1024;
 
 sockaddr_in loopbackAddress(std::uint16_t port)
 {
@@ -68,7 +70,7 @@
 };
 
 // Guards against an entry VM whose memory fills with uploads until it is killed with all its
-// requests.
+// requests, and against uploads that count as larger than what is held of them.
 TEST_P(UnreadUpload, IsNotReadBeyondABoundedPart)
 {
     startSendingVm(std::vector<peer::Address>(4, localAddress(Silent)), GetParam().throughRelay);
@@ -92,6 +94,8 @@
     runUntil([&] { return accepted == upload.size(); }, ObservedTime);
     EXPECT_GT(accepted, 512UL * 1024);
     EXPECT_LT(accepted, MaxAcceptedBytes);
+    const std::size_t connections = GetParam().throughRelay ? 2 : 1;
+    EXPECT_LT(clientBudget_.heldBytes(), connections * MaxHeldBytes);
 }
 
 INSTANTIATE_TEST_SUITE_P(Uploads, UnreadUpload,
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -320,6 +320,11 @@
     return impl_->transport().pendingOutput() > OutputHighWatermarkBytes;
 }
 
+std::size_t ClientConnection::pendingOutput() const
+{
+    return impl_->transport().pendingOutput();
+}
+
 bool ClientConnection::mayHaveSentRequest() const
 {
     return impl_->mayHaveSent();
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -219,6 +219,8 @@
     // outside its own callbacks: until then it could still be established and send its request.
     void close();
     bool isOutputFull() const;
+    // Returns the bytes that wait to be written to the socket.
+    std::size_t pendingOutput() const;
     // Returns true once a byte of the current request may have been sent. False proves that the
     // server did not receive any of it.
     bool mayHaveSentRequest() const;
--- a/src/testing/gatewayfleet.h
+++ b/src/testing/gatewayfleet.h
@@ -256,6 +256,7 @@
                             "leaving",    "limit" };
         options.documentParser = &parseTestDocument;
         options.gracePeriod = gracePeriod_;
+        options.clientBudget = &clientBudget_;
         options.relayAddress = localAddress(peers);
         options.requestRelayAddress = localAddress(relay);
         const auto created = attempt([&]() -> Result<bool> {
@@ -334,6 +335,7 @@
     testing::EventBase base_;
     TimerService timers_;
     Metrics metrics_;
+    ClientBudget clientBudget_ { ClientLimits() };
     std::unique_ptr<http::ApiServer> backend_;
     std::vector<http::ApiServer::ResponseCallback> unanswered_;
     bool backendResponds_ = true;
