DeliveryWatch counts what the kernel took before it started

A request that was written while its connection was being made may be in the kernel already; its delivery would not have counted as progress. Found by reading.

--- a/src/http/deliverywatch.cpp
+++ b/src/http/deliverywatch.cpp
@@ -26,7 +26,8 @@
 {
     evbuffer *output = bufferevent_get_output(connection_);
     evbuffer_add_cb(output, &DeliveryWatch::onOutputChanged, this);
-    written_ = evbuffer_get_length(output);
+    // The kernel may have taken some of it already.
+    written_ = measureUndelivered();
     if (written_ > 0) {
         startWatching();
     }
