--- a/src/shutdown/shutdown.h
+++ b/src/shutdown/shutdown.h
@@ -4,8 +4,8 @@
 // The schedule is made once, when the signal comes, from the time that is left until the process is
 // killed. Every request that the process holds takes the earlier one of its own deadline and that
 // of the schedule, so that it has one known end before the process goes:
-// - A request that no server works on at `sendUntil` ends then. If it cannot have run, it is refused,
-//   so that its caller can send it to another VM at once.
+// - A request that no server works on at `sendUntil` ends then. If it cannot have run, it is
+//   refused, so that its caller can send it to another VM at once.
 // - A request that a server works on has until `respondUntil`. Then its caller is told that it may
 //   have run.
 // - Responses are delivered until `exitAt`.
